--- a/src/call/table_claim_store.hpp
+++ b/src/call/table_claim_store.hpp
@@ -3,22 +3,22 @@
 #include <map>
 
 #include "call/claim_store.hpp"
-#include "platform/table_client.hpp"
+#include "table/table_client.hpp"
 
 namespace cyclamen::call {
 
 /// Keeps claims in the platform's table service: one row each, in the table `calls`.
-class table_claim_store final : public claim_store, private platform::table_listener {
+class table_claim_store final : public claim_store, private table::table_listener {
   public:
     /// @param table reaches the table service; outlives the store
-    explicit table_claim_store(platform::table_client& table) : table_{table} {}
+    explicit table_claim_store(table::table_client& table) : table_{table} {}
 
     claim_ticket write(const claim_key& key, const claim_record& record, api::row_version expected,
                        claim_listener& listener, core::instant now) override;
     claim_ticket read(const claim_key& key, claim_listener& listener) override;
 
   private:
-    platform::table_client& table_;
+    table::table_client& table_;
     std::map<claim_ticket, claim_listener*> waiting_;
 
     void on_table_answer(const api::table_event& answer, core::instant now) override;
--- /dev/null
+++ b/src/chart/timer_set.hpp
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <algorithm>
+#include <map>
+#include <optional>
+
+#include "chart/chart.hpp"
+#include "core/time.hpp"
+
+namespace cyclamen::chart {
+
+/// The timers that the states of one machine have started. Used by the code that a machine drives.
+class timer_set {
+  public:
+    /// Starts a timer, or starts it anew.
+    void start(const state_timeout& timeout, core::instant due)
+    {
+        timers_.insert_or_assign(timeout.timeout, std::pair{due, timeout.event});
+    }
+
+    /// Stops a timer. No effect where it has ended.
+    void stop(const state_timeout& timeout) { timers_.erase(timeout.timeout); }
+
+    /// @return when the first timer ends, empty where none runs
+    [[nodiscard]] std::optional<core::instant> next_due() const
+    {
+        const auto first = find_first();
+        return first == timers_.end() ? std::nullopt : std::optional{first->second.first};
+    }
+
+    /// Takes a timer that has ended off the set.
+    /// @return its event, empty where no timer has ended
+    [[nodiscard]] std::optional<symbol> take_ended(core::instant now)
+    {
+        const auto first = find_first();
+        if (first == timers_.end() || first->second.first > now) {
+            return std::nullopt;
+        }
+        const symbol event = first->second.second;
+        timers_.erase(first);
+        return event;
+    }
+
+  private:
+    using timer_map = std::map<symbol, std::pair<core::instant, symbol>>;
+    timer_map timers_;
+
+    [[nodiscard]] timer_map::const_iterator find_first() const
+    {
+        return std::min_element(timers_.begin(), timers_.end(),
+                                [](const auto& left, const auto& right) {
+                                    return left.second.first < right.second.first;
+                                });
+    }
+};
+
+} // namespace cyclamen::chart
--- a/src/cli/command_line.cpp
+++ b/src/cli/command_line.cpp
@@ -11,6 +11,7 @@
 #include "cli/chart_commands.hpp"
 #include "cli/demo.hpp"
 #include "cli/operator_commands.hpp"
+#include "cli/relay_command.hpp"
 #include "cli/serve_commands.hpp"
 #include "task/signals.hpp"
 
@@ -25,7 +26,8 @@
 
 Usage:
   cyclamencourse route --config FILE [--charts DIR]
-  cyclamencourse check FILE
+  cyclamencourse relay [--config FILE] [--charts DIR]
+  cyclamencourse check [--relay] FILE
   cyclamencourse stand-in engine --config FILE
   cyclamencourse stand-in platform --config FILE
   cyclamencourse stand-in service --config FILE
@@ -45,6 +47,7 @@
 
 Commands:
   route      Run one entry instance until SIGTERM.
+  relay      Run one instance on the users' platform until SIGTERM.
   check      Check a settings file of an instance and list every fault.
   stand-in   Run a stand-in for a back end or the platform, for trials.
   charts     Check the chart files of a folder, or print one as a Graphviz graph.
@@ -60,7 +63,8 @@
   version    Print the version.
 
 Options:
-  --config FILE  Settings, in JSON.
+  --config FILE  Settings, in JSON; relay finds the platform's file by itself.
+  --relay        The file is for the command relay.
   --charts DIR   Folder of chart files that replace those of the binary.
   --at ADDR      Any instance, as ip:port.
   --token-file FILE  File that holds the token of an operator.
@@ -114,6 +118,9 @@
     if (given("route")) {
         return route(text_of(arguments, "--config"), charts);
     }
+    if (given("relay")) {
+        return relay(text_of(arguments, "--config"), charts);
+    }
     if (given("platform")) {
         return stand_in_platform(text_of(arguments, "--config"));
     }
@@ -128,7 +135,8 @@
                               : print_chart(text_of(arguments, "NAME"), charts);
     }
     if (given("check")) {
-        return check_settings(text_of(arguments, "FILE"));
+        return given("--relay") ? check_relay_settings(text_of(arguments, "FILE"))
+                                : check_settings(text_of(arguments, "FILE"));
     }
     if (given("load")) {
         return send_load(text_of(arguments, "--config"));
--- a/src/http/client.hpp
+++ b/src/http/client.hpp
@@ -6,6 +6,7 @@
 #include <absl/status/status.h>
 
 #include "core/socket_address.hpp"
+#include "core/time.hpp"
 #include "http/http_types.hpp"
 #include "task/event_loop.hpp"
 
@@ -26,16 +27,28 @@
     /// The exchange has ended; nothing follows.
     /// @param exchange the exchange
     /// @param sent false only where no byte of the request has left
-    /// @param status OK where the whole response has arrived
+    /// @param status OK only where the whole response has arrived
     virtual void on_end(exchange_id exchange, bool sent, const absl::Status& status) = 0;
 };
 
-/// HTTP client of one task, over h2o: one connection an exchange.
+/// Limits of the connections of a client.
+struct client_settings {
+    /// Longest time that a connection may take to be established.
+    const core::duration connect_limit = std::chrono::seconds{3};
+    /// How long sent bytes may stay without an acknowledgement of the peer's machine.
+    const core::duration unacknowledged_limit = std::chrono::seconds{3};
+
+    auto operator<=>(const client_settings&) const = default;
+};
+
+/// HTTP client of one task: one connection an exchange, so that bytes after an answer can never be
+/// taken for the answer of another request.
 class client {
   public:
     /// @param loop event loop of the owning task
     /// @param listener receives responses; outlives the client
-    client(task::event_loop& loop, client_listener& listener);
+    /// @param settings limits of connections
+    client(task::event_loop& loop, client_listener& listener, client_settings settings = {});
     ~client();
     client(const client&) = delete;
     client& operator=(const client&) = delete;
@@ -43,10 +56,11 @@
     /// Sends a request.
     /// @param exchange number that the owner gives; not in use already
     /// @param address where to send it
-    /// @param sent the request
+    /// @param sent the request; its host is the address unless it names one
     void start(exchange_id exchange, const core::socket_address& address, const request& sent);
 
-    /// Ends an exchange; the listener hears nothing more of it. No effect where it has ended.
+    /// Ends an exchange and closes its connection; the listener hears nothing more of it. No effect
+    /// where it has ended.
     void cancel(exchange_id exchange);
 
     /// @return how many exchanges are under way
--- a/src/http/front_task.cpp
+++ b/src/http/front_task.cpp
@@ -48,7 +48,9 @@
 
 absl::Status front_task::on_start()
 {
-    auto listening = server::listen(loop(), settings_.listen, settings_.most_body_bytes, *this);
+    auto listening = server::listen(
+        loop(), settings_.listen,
+        server_settings{message_limits{.most_body_bytes = settings_.most_body_bytes}}, *this);
     if (!listening.ok()) {
         return listening.status();
     }
--- /dev/null
+++ b/src/http/message_reader.cpp
@@ -0,0 +1,260 @@
+#include "http/message_reader.hpp"
+
+#include <algorithm>
+#include <cctype>
+#include <limits>
+#include <vector>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/status.hpp>
+
+#include "core/error.hpp"
+#include "core/text.hpp"
+
+namespace cyclamen::http {
+
+namespace beast = boost::beast;
+
+namespace {
+
+constexpr int status_bad_request = 400;
+constexpr int status_too_large = 413;
+constexpr int status_head_too_large = 431;
+constexpr int first_final_status = 200;
+
+/// Largest head of a response that is read, in bytes.
+constexpr std::uint32_t most_response_head_bytes = 64 * 1024;
+
+std::string lower(beast::string_view text)
+{
+    std::string made{text.data(), text.size()};
+    std::transform(made.begin(), made.end(), made.begin(),
+                   [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+    return made;
+}
+
+std::string_view view(beast::string_view text)
+{
+    return {text.data(), text.size()};
+}
+
+} // namespace
+
+namespace detail {
+
+/// Collects what Beast's parser finds.
+template <bool IsRequest>
+class collecting_parser : public beast::http::basic_parser<IsRequest> {
+  public:
+    std::size_t feed(std::string_view bytes)
+    {
+        if (error || this->is_done()) {
+            return 0;
+        }
+        const std::size_t used = this->put(boost::asio::buffer(bytes.data(), bytes.size()), error);
+        if (error == beast::http::error::need_more) {
+            error = {};
+        }
+        return used;
+    }
+
+    std::string method;
+    std::string path;
+    int status = 0;
+    std::vector<header> headers;
+    std::string body;
+    bool has_head = false;
+    int version = 0;
+    beast::error_code error;
+
+  private:
+    void on_request_impl(beast::http::verb /*verb*/, beast::string_view name,
+                         beast::string_view target, int minor_version,
+                         beast::error_code& /*failure*/) override
+    {
+        method = view(name);
+        path = view(target);
+        version = minor_version;
+    }
+    void on_response_impl(int code, beast::string_view /*reason*/, int minor_version,
+                          beast::error_code& /*failure*/) override
+    {
+        status = code;
+        version = minor_version;
+    }
+    void on_field_impl(beast::http::field /*known*/, beast::string_view name,
+                       beast::string_view value, beast::error_code& /*failure*/) override
+    {
+        headers.push_back(header{lower(name), std::string{view(value)}});
+    }
+    void on_header_impl(beast::error_code& /*failure*/) override { has_head = true; }
+    void on_body_init_impl(const boost::optional<std::uint64_t>& /*length*/,
+                           beast::error_code& /*failure*/) override
+    {
+    }
+    std::size_t on_body_impl(beast::string_view part, beast::error_code& /*failure*/) override
+    {
+        body.append(part.data(), part.size());
+        return part.size();
+    }
+    void on_chunk_header_impl(std::uint64_t /*size*/, beast::string_view /*extensions*/,
+                              beast::error_code& /*failure*/) override
+    {
+    }
+    std::size_t on_chunk_body_impl(std::uint64_t /*remaining*/, beast::string_view part,
+                                   beast::error_code& /*failure*/) override
+    {
+        body.append(part.data(), part.size());
+        return part.size();
+    }
+    void on_finish_impl(beast::error_code& /*failure*/) override {}
+};
+
+} // namespace detail
+
+class request_reader::parser : public detail::collecting_parser<true> {};
+
+class response_reader::parser : public detail::collecting_parser<false> {};
+
+request_reader::request_reader(const message_limits& limits) : parser_{std::make_unique<parser>()}
+{
+    parser_->eager(true);
+    parser_->header_limit(static_cast<std::uint32_t>(limits.most_header_bytes));
+    parser_->body_limit(limits.most_body_bytes);
+}
+
+request_reader::~request_reader() = default;
+
+std::size_t request_reader::feed(std::string_view bytes)
+{
+    return parser_->feed(bytes);
+}
+
+bool request_reader::has_head() const
+{
+    return parser_->has_head;
+}
+
+bool request_reader::is_complete() const
+{
+    return !parser_->error && parser_->is_done();
+}
+
+int request_reader::refusal() const
+{
+    if (parser_->error == beast::http::error::header_limit) {
+        return status_head_too_large;
+    }
+    if (parser_->error == beast::http::error::body_limit) {
+        return status_too_large;
+    }
+    if (parser_->error) {
+        return status_bad_request;
+    }
+    // Two hosts would let two readers of one request disagree about its route.
+    const auto hosts = std::count_if(parser_->headers.begin(), parser_->headers.end(),
+                                     [](const header& each) { return each.name == "host"; });
+    return hosts > 1 ? status_bad_request : 0;
+}
+
+bool request_reader::expects_continue() const
+{
+    return find_header(parser_->headers, "expect") == "100-continue";
+}
+
+bool request_reader::keeps_connection() const
+{
+    return parser_->keep_alive();
+}
+
+bool request_reader::takes_chunks() const
+{
+    constexpr int chunks_since = 11;
+    return parser_->version >= chunks_since;
+}
+
+request request_reader::take()
+{
+    return request{std::move(parser_->method), std::move(parser_->path),
+                   std::move(parser_->headers), std::move(parser_->body)};
+}
+
+response_reader::response_reader(bool without_body) : parser_{std::make_unique<parser>()}
+{
+    parser_->eager(true);
+    parser_->skip(without_body);
+    parser_->header_limit(most_response_head_bytes);
+    parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
+}
+
+response_reader::~response_reader() = default;
+
+std::size_t response_reader::feed(std::string_view bytes)
+{
+    std::size_t used = parser_->feed(bytes);
+    const bool interim = parser_->has_head && parser_->status < first_final_status;
+    if (interim && !parser_->error) {
+        // An interim answer says nothing; the final one follows.
+        const bool without_body = parser_->skip();
+        parser_ = std::make_unique<parser>();
+        parser_->eager(true);
+        parser_->skip(without_body);
+        parser_->header_limit(most_response_head_bytes);
+        parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
+        used += feed(bytes.substr(used));
+    }
+    return used;
+}
+
+void response_reader::finish()
+{
+    if (parser_->error || parser_->is_done()) {
+        return;
+    }
+    if (!parser_->got_some()) {
+        parser_->error = beast::http::error::end_of_stream;
+        return;
+    }
+    parser_->put_eof(parser_->error);
+}
+
+bool response_reader::has_head() const
+{
+    return parser_->has_head;
+}
+
+bool response_reader::is_complete() const
+{
+    return !parser_->error && parser_->is_done();
+}
+
+absl::Status response_reader::error() const
+{
+    if (!parser_->error) {
+        return absl::OkStatus();
+    }
+    return core::make_error(core::error_kind::unavailable,
+                            core::concat("not a whole response: ", parser_->error.message()),
+                            "try another target");
+}
+
+response_head response_reader::head() const
+{
+    return response_head{parser_->status, parser_->headers};
+}
+
+std::string response_reader::take_body()
+{
+    std::string taken;
+    taken.swap(parser_->body);
+    return taken;
+}
+
+std::string_view reason_of(int status)
+{
+    return view(beast::http::obsolete_reason(beast::http::int_to_status(status)));
+}
+
+} // namespace cyclamen::http
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -1,21 +1,19 @@
 #include "http/server.hpp"
 
 #include <arpa/inet.h>
-#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include <cassert>
-#include <cctype>
 #include <cerrno>
 #include <cstring>
 #include <map>
-#include <new>
-#include <set>
-#include <vector>
+#include <optional>
 
+#include "core/cell.hpp"
 #include "core/error.hpp"
+#include "core/log.hpp"
 #include "core/text.hpp"
+#include "http/tcp_stream.hpp"
 #include "task/h2o.hpp"
 
 namespace cyclamen::http {
@@ -23,11 +21,23 @@
 namespace {
 
 constexpr int listen_backlog = 1024;
-constexpr int status_unavailable = 503;
+constexpr int status_no_content = 204;
+constexpr int status_not_modified = 304;
+constexpr int first_final_status = 200;
 
-/// How often and how long the server lets h2o see that its connections are closed.
-constexpr int most_closing_rounds = 200;
-constexpr int closing_round_ms = 10;
+/// Connections accepted in one round of the loop; more wait for the next round.
+constexpr int most_accepted_at_once = 64;
+
+/// How long the server waits for a free descriptor before it accepts again.
+constexpr core::duration accept_pause = std::chrono::milliseconds{100};
+
+/// How often timed limits of connections are looked at.
+constexpr core::duration limit_check_period = std::chrono::seconds{1};
+
+/// Bytes of following requests that may wait while a request is answered.
+constexpr std::size_t most_waiting_input_bytes = 64 * 1024;
+
+using connection_number = core::number<struct connection_number_tag>;
 
 absl::Status socket_error(std::string_view step, const core::socket_address& address)
 {
@@ -58,64 +68,38 @@
     return fd;
 }
 
-std::string to_string(const h2o_iovec_t& bytes)
+std::string encode_chunk(std::string_view bytes, bool last)
 {
-    return std::string{bytes.base, bytes.len};
-}
-
-std::string to_lower(const h2o_iovec_t& bytes)
-{
-    std::string text = to_string(bytes);
-    for (char& c : text) {
-        c = static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
+    std::string text;
+    if (!bytes.empty()) {
+        text = fmt::format("{:x}\r\n{}\r\n", bytes.size(), bytes);
     }
-    return text;
+    return last ? text + "0\r\n\r\n" : text;
 }
 
-request to_request(const h2o_req_t& native)
+bool has_no_body(int status)
 {
-    std::vector<header> headers;
-    headers.reserve(native.headers.size);
-    for (std::size_t i = 0; i < native.headers.size; ++i) {
-        const h2o_header_t& each = native.headers.entries[i];
-        headers.push_back(header{to_lower(*each.name), to_string(each.value)});
-    }
-    return request{to_string(native.method), to_string(native.path), std::move(headers),
-                   native.entity.base == nullptr ? std::string{} : to_string(native.entity)};
+    return status < first_final_status || status == status_no_content ||
+           status == status_not_modified;
 }
 
 } // namespace
 
-/// Keeps the h2o objects of one server. h2o calls back through the static functions.
+/// Keeps the connections of one server.
 class server::implementation {
   public:
-    implementation(task::event_loop& loop, std::size_t most_body_bytes, server_handler& handler)
-        : loop_{loop}, handler_{handler}
+    implementation(task::event_loop& loop, const server_settings& settings, server_handler& handler)
+        : loop_{loop}, handler_{handler}, settings_{settings}
     {
-        h2o_config_init(&config_);
-        config_.server_name = h2o_iovec_init(H2O_STRLIT("cyclamencourse"));
-        config_.max_request_entity_size = most_body_bytes;
-        h2o_hostconf_t* host =
-            h2o_config_register_host(&config_, h2o_iovec_init(H2O_STRLIT("default")), 65535);
-        h2o_pathconf_t* path = h2o_config_register_path(host, "/", 0);
-        auto* native =
-            reinterpret_cast<handler_object*>(h2o_create_handler(path, sizeof(handler_object)));
-        native->super.on_req = on_request;
-        native->owner = this;
-        h2o_context_init(&context_, loop.native(), &config_);
-        accept_.ctx = &context_;
-        accept_.hosts = config_.hosts;
+        check_limits_later();
     }
 
     ~implementation()
     {
-        stop_accepting();
         closing_ = true;
-        close_connections();
-        // The timer that h2o starts with a graceful shutdown may not outlive the context.
-        h2o_timeout_unlink(&context_.http2._graceful_shutdown_timeout);
-        h2o_context_dispose(&context_);
-        h2o_config_dispose(&config_);
+        stop_accepting();
+        loop_.cancel(limit_check_);
+        connections_.clear();
     }
     implementation(const implementation&) = delete;
     implementation& operator=(const implementation&) = delete;
@@ -127,224 +111,339 @@
         h2o_socket_read_start(listener_, on_accept);
     }
 
+    void set_settings(const server_settings& settings) { settings_.set(settings); }
+
+    void close_after_answers() { closes_after_answers_ = true; }
+
     void stop_accepting()
     {
-        if (listener_ != nullptr) {
-            h2o_socket_read_stop(listener_);
-            h2o_socket_close(listener_);
-            listener_ = nullptr;
-            h2o_context_request_shutdown(&context_);
+        closes_after_answers_ = true;
+        loop_.cancel(accept_again_);
+        if (listener_ == nullptr) {
+            return;
+        }
+        h2o_socket_read_stop(listener_);
+        h2o_socket_close(listener_);
+        listener_ = nullptr;
+        for (auto each = connections_.begin(); each != connections_.end();) {
+            // A request that is arriving or being answered goes on.
+            const bool idle = each->second->is_idle();
+            each = idle ? connections_.erase(each) : std::next(each);
         }
     }
 
     void send_head(exchange_id id, const response_head& head)
     {
-        exchange* found = find(id);
-        if (found == nullptr || found->has_head) {
-            return;
-        }
-        h2o_req_t* native = found->native;
-        native->res.status = head.status;
-        native->res.reason = "response";
-        for (const header& each : head.headers) {
-            const h2o_iovec_t name = h2o_strdup(&native->pool, each.name.data(), each.name.size());
-            const h2o_iovec_t value =
-                h2o_strdup(&native->pool, each.value.data(), each.value.size());
-            h2o_add_header_by_str(&native->pool, &native->res.headers, name.base, name.len, 1,
-                                  nullptr, value.base, value.len);
+        connection* found = find(id);
+        if (found != nullptr && !found->head_sent) {
+            found->stream.write(begin_answer(*found, head, std::nullopt));
         }
-        h2o_start_response(native, &found->generator);
-        found->has_head = true;
     }
 
     void send(exchange_id id, std::string_view bytes, bool last)
     {
-        exchange* found = find(id);
-        if (found == nullptr || !found->has_head || found->last) {
+        connection* found = find(id);
+        if (found == nullptr || !found->head_sent) {
             return;
         }
-        found->waiting.append(bytes);
-        found->last = last;
-        if (!found->sending) {
-            send_waiting(*found);
+        if (!found->without_body) {
+            found->stream.write(found->chunked ? encode_chunk(bytes, last) : std::string{bytes});
+        }
+        if (last) {
+            finish(*found);
+        }
+        else if (found->stream.unsent() > settings_.get().most_unsent_bytes) {
+            drop(*found, true);
         }
     }
 
-    void abort(exchange_id id)
+    void respond(exchange_id id, const response_head& head, std::string_view body)
     {
-        exchange* found = find(id);
-        if (found == nullptr) {
+        connection* found = find(id);
+        if (found == nullptr || found->head_sent) {
             return;
         }
-        // h2o can end only a response that has begun.
-        send_head(id, response_head{status_unavailable, {}});
-        // Shutting the socket down makes h2o drop the connection with its requests.
-        found->last = true;
-        if (found->native->conn->callbacks->get_socket != nullptr) {
-            h2o_socket_t* socket = found->native->conn->callbacks->get_socket(found->native->conn);
-            ::shutdown(h2o_socket_get_fd(socket), SHUT_RDWR);
+        std::string text = begin_answer(*found, head, body.size());
+        if (!found->without_body) {
+            text += body;
         }
-        if (!found->sending) {
-            h2o_send(found->native, nullptr, 0, H2O_SEND_STATE_ERROR);
+        found->stream.write(text);
+        finish(*found);
+    }
+
+    void abort(exchange_id id)
+    {
+        connection* found = find(id);
+        if (found != nullptr) {
+            drop(*found, false);
         }
     }
 
     [[nodiscard]] std::size_t open_exchanges() const { return exchanges_.size(); }
 
   private:
-    struct handler_object {
-        h2o_handler_t super;
-        implementation* owner;
-    };
+    struct connection final : stream_listener {
+        connection(implementation& owning, connection_number own, h2o_socket_t* accepted)
+            : owner{owning}, number{own}, stream{accepted,
+                                                 owning.settings_.get().unacknowledged_limit,
+                                                 *this},
+              since{owning.loop_.now()}
+        {
+        }
 
-    struct closing_object {
-        implementation* owner;
-        h2o_socket_t* connection;
-    };
+        implementation& owner;
+        const connection_number number;
+        tcp_stream stream;
+        /// Begin of the wait that a limit applies to.
+        core::instant since;
+        std::unique_ptr<request_reader> reader;
+        std::optional<exchange_id> exchange;
+        bool head_sent = false;
+        bool chunked = false;
+        bool without_body = false;
+        bool answers_head_request = false;
+        bool takes_chunks = true;
+        bool keeps_connection = true;
+        bool told_to_continue = false;
+        /// Closes as soon as all is written.
+        bool ending = false;
+
+        [[nodiscard]] bool is_idle() const
+        {
+            return !exchange.has_value() && reader == nullptr && !ending && stream.input().empty();
+        }
 
-    /// Lives in the memory pool of its request; h2o disposes of it with the request.
-    struct exchange {
-        h2o_generator_t generator;
-        implementation* owner;
-        h2o_req_t* native;
-        exchange_id id;
-        bool has_head = false;
-        bool sending = false;
-        bool last = false;
-        bool finished = false;
-        std::string waiting;
-        std::string in_flight;
+        void on_bytes() override { owner.read(*this); }
+        void on_sent() override
+        {
+            if (ending) {
+                owner.connections_.erase(connection_number{number});
+            }
+        }
+        void on_end(stream_end /*end*/) override { owner.drop(*this, true); }
     };
 
     task::event_loop& loop_;
     server_handler& handler_;
-    h2o_globalconf_t config_{};
-    h2o_context_t context_{};
-    h2o_accept_ctx_t accept_{};
+    core::cell<server_settings> settings_;
     h2o_socket_t* listener_ = nullptr;
-    std::map<exchange_id, exchange*> exchanges_;
-    std::set<h2o_socket_t*> connections_;
-    exchange_id last_id_;
+    std::map<connection_number, std::unique_ptr<connection>> connections_;
+    std::map<exchange_id, connection*> exchanges_;
+    connection_number last_connection_;
+    exchange_id last_exchange_;
+    task::timer_id accept_again_;
+    task::timer_id limit_check_;
     bool closing_ = false;
+    bool closes_after_answers_ = false;
 
-    exchange* find(exchange_id id)
+    connection* find(exchange_id id)
     {
         const auto found = exchanges_.find(id);
         return found == exchanges_.end() ? nullptr : found->second;
     }
 
-    void close_connections()
+    static void on_accept(h2o_socket_t* listener, const char* error)
     {
-        // Ends what is still under way.
-        std::vector<exchange_id> open;
-        for (const auto& [id, each] : exchanges_) {
-            open.push_back(id);
-        }
-        for (const exchange_id id : open) {
-            abort(id);
-        }
-        // Lets h2o see the ends: its timers may not outlive its connections.
-        for (h2o_socket_t* connection : connections_) {
-            ::shutdown(h2o_socket_get_fd(connection), SHUT_RDWR);
+        auto* self = static_cast<implementation*>(listener->data);
+        if (error != nullptr) {
+            return;
         }
-        for (int round = 0; round < most_closing_rounds && !connections_.empty(); ++round) {
-            h2o_evloop_run(loop_.native(), closing_round_ms);
+        for (int accepted = 0; accepted < most_accepted_at_once; ++accepted) {
+            errno = 0;
+            h2o_socket_t* socket = h2o_evloop_socket_accept(listener);
+            if (socket != nullptr) {
+                self->add(socket);
+                continue;
+            }
+            if (errno == EMFILE || errno == ENFILE || errno == ENOMEM) {
+                self->pause_accepting();
+            }
+            return;
         }
-        assert(connections_.empty() && "h2o keeps no connection that was shut down");
     }
 
-    static void on_accept(h2o_socket_t* listener, const char* error)
+    /// Without a pause the loop would spin on a connection that it can't accept.
+    void pause_accepting()
     {
-        auto* self = static_cast<implementation*>(listener->data);
-        if (error != nullptr) {
+        core::log_event(core::log_level::warning, "accept_paused",
+                        {{"reason", std::strerror(errno)}});
+        h2o_socket_read_stop(listener_);
+        accept_again_ =
+            loop_.run_after(accept_pause, [this] { h2o_socket_read_start(listener_, on_accept); });
+    }
+
+    void add(h2o_socket_t* socket)
+    {
+        last_connection_ = last_connection_.next();
+        auto made = std::make_unique<connection>(*this, last_connection_, socket);
+        made->stream.start_reading();
+        connections_.emplace(last_connection_, std::move(made));
+    }
+
+    void read(connection& from)
+    {
+        if (from.exchange.has_value() || from.ending) {
+            if (from.stream.input().size() > most_waiting_input_bytes) {
+                from.stream.stop_reading();
+            }
             return;
         }
-        h2o_socket_t* accepted = h2o_evloop_socket_accept(listener);
-        if (accepted != nullptr) {
-            const int on = 1;
-            ::setsockopt(h2o_socket_get_fd(accepted), IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-            self->connections_.insert(accepted);
-            accepted->on_close.cb = on_close;
-            accepted->on_close.data = new closing_object{self, accepted};
-            h2o_accept(&self->accept_, accepted);
+        if (from.stream.input().empty()) {
+            return;
+        }
+        if (from.reader == nullptr) {
+            from.reader = std::make_unique<request_reader>(settings_.get().messages);
+            from.since = loop_.now();
         }
+        from.stream.consume(from.reader->feed(from.stream.input()));
+        const int refusal = from.reader->refusal();
+        if (refusal != 0) {
+            refuse(from, refusal);
+            return;
+        }
+        if (!from.reader->is_complete()) {
+            if (from.reader->has_head() && from.reader->expects_continue() &&
+                !from.told_to_continue) {
+                from.told_to_continue = true;
+                from.stream.write("HTTP/1.1 100 Continue\r\n\r\n");
+            }
+            return;
+        }
+        begin_exchange(from);
+    }
+
+    void begin_exchange(connection& from)
+    {
+        last_exchange_ = last_exchange_.next();
+        const exchange_id id = last_exchange_;
+        from.exchange = id;
+        from.head_sent = false;
+        from.chunked = false;
+        from.told_to_continue = false;
+        from.takes_chunks = from.reader->takes_chunks();
+        from.keeps_connection = from.reader->keeps_connection();
+        const request received = from.reader->take();
+        from.reader.reset();
+        from.answers_head_request = received.method == "HEAD";
+        exchanges_.emplace(id, &from);
+        handler_.on_request(id, received);
     }
 
-    static void on_close(void* data)
+    /// @return the head of the answer as it goes out
+    std::string begin_answer(connection& to, const response_head& head,
+                             std::optional<std::size_t> length)
     {
-        const std::unique_ptr<closing_object> closing{static_cast<closing_object*>(data)};
-        closing->owner->connections_.erase(closing->connection);
+        to.head_sent = true;
+        to.without_body = to.answers_head_request || has_no_body(head.status);
+        to.chunked = !length.has_value() && to.takes_chunks;
+        // Without a length and without chunks only the end of the connection ends the body.
+        to.keeps_connection = to.keeps_connection && !closes_after_answers_ &&
+                              (length.has_value() || to.takes_chunks || to.without_body);
+        std::string text =
+            core::concat("HTTP/1.1 ", head.status, " ", reason_of(head.status), "\r\n");
+        for (const header& each : head.headers) {
+            core::append(text, each.name, ": ", each.value, "\r\n");
+        }
+        if (length.has_value() && !has_no_body(head.status)) {
+            core::append(text, "content-length: ", *length, "\r\n");
+        }
+        else if (to.chunked && !to.without_body) {
+            text += "transfer-encoding: chunked\r\n";
+        }
+        if (!to.keeps_connection) {
+            text += "connection: close\r\n";
+        }
+        text += "\r\n";
+        return text;
     }
 
-    static int on_request(h2o_handler_t* handler, h2o_req_t* native)
+    void finish(connection& of)
     {
-        implementation* self = reinterpret_cast<handler_object*>(handler)->owner;
-        void* memory = h2o_mem_alloc_shared(&native->pool, sizeof(exchange), on_dispose);
-        auto* made = new (memory) exchange{};
-        made->generator.proceed = on_proceed;
-        made->generator.stop = on_stop;
-        made->owner = self;
-        made->native = native;
-        made->id = self->last_id_ = self->last_id_.next();
-        self->exchanges_.emplace(made->id, made);
-        if (self->closing_) {
-            // The owner is letting go of the server: it may not be asked any more.
-            self->send_head(made->id, response_head{status_unavailable, {}});
-            self->send(made->id, {}, true);
-            return 0;
+        exchanges_.erase(*of.exchange);
+        of.exchange.reset();
+        of.since = loop_.now();
+        if (!of.keeps_connection) {
+            end_when_sent(of);
+            return;
+        }
+        of.stream.start_reading();
+        if (!of.stream.input().empty()) {
+            // The next request has arrived already; the handler may not be called from within a
+            // call of the owner.
+            loop_.run_after(core::duration::zero(), [this, number = of.number] {
+                const auto found = connections_.find(number);
+                if (found != connections_.end()) {
+                    read(*found->second);
+                }
+            });
         }
-        self->handler_.on_request(made->id, to_request(*native));
-        return 0;
     }
 
-    static void on_proceed(h2o_generator_t* generator, h2o_req_t* /*native*/)
+    void end_when_sent(connection& of)
     {
-        auto* self = reinterpret_cast<exchange*>(generator);
-        self->sending = false;
-        if (!self->waiting.empty() || self->last) {
-            self->owner->send_waiting(*self);
+        of.ending = true;
+        of.since = loop_.now();
+        if (of.stream.unsent() == 0) {
+            // The owner may be in a callback of this connection: let that return first.
+            loop_.run_after(core::duration::zero(),
+                            [this, number = of.number] { connections_.erase(number); });
         }
     }
 
-    static void on_stop(h2o_generator_t* /*generator*/, h2o_req_t* /*native*/) {}
+    /// Answers bytes that are no acceptable request, and closes.
+    void refuse(connection& from, int status)
+    {
+        from.reader.reset();
+        from.keeps_connection = false;
+        from.answers_head_request = false;
+        from.stream.write(begin_answer(from, response_head{status, {}}, 0));
+        end_when_sent(from);
+    }
 
-    static void on_dispose(void* memory)
+    /// Closes a connection at once.
+    /// @param tell whether the handler hears that its exchange has gone
+    void drop(connection& gone, bool tell)
     {
-        auto* self = static_cast<exchange*>(memory);
-        implementation* owner = self->owner;
-        const exchange_id id = self->id;
-        const bool finished = self->finished;
-        owner->exchanges_.erase(id);
-        self->~exchange();
-        if (!finished && !owner->closing_) {
-            owner->handler_.on_gone(id);
+        const std::optional<exchange_id> exchange = gone.exchange;
+        const auto ended = connections_.extract(connection_number{gone.number});
+        if (exchange.has_value()) {
+            exchanges_.erase(*exchange);
+            if (tell && !closing_) {
+                handler_.on_gone(*exchange);
+            }
         }
     }
 
-    static void send_waiting(exchange& self)
+    void check_limits_later()
     {
-        self.sending = true;
-        self.in_flight.swap(self.waiting);
-        self.waiting.clear();
-        h2o_iovec_t bytes = h2o_iovec_init(self.in_flight.data(), self.in_flight.size());
-        if (self.last) {
-            self.finished = true;
+        limit_check_ = loop_.run_after(limit_check_period, [this] { check_limits(); });
+    }
+
+    void check_limits()
+    {
+        const core::instant now = loop_.now();
+        for (auto each = connections_.begin(); each != connections_.end();) {
+            const connection& checked = *each->second;
+            const core::duration limit = checked.reader != nullptr || checked.ending
+                                             ? settings_.get().request_limit
+                                             : settings_.get().idle_limit;
+            const bool over = !checked.exchange.has_value() && now - checked.since > limit;
+            each = over ? connections_.erase(each) : std::next(each);
         }
-        h2o_send(self.native, &bytes, bytes.len > 0 ? 1 : 0,
-                 self.last ? H2O_SEND_STATE_FINAL : H2O_SEND_STATE_IN_PROGRESS);
+        check_limits_later();
     }
 };
 
 absl::StatusOr<std::unique_ptr<server>> server::listen(task::event_loop& loop,
                                                        const core::socket_address& address,
-                                                       std::size_t most_body_bytes,
+                                                       const server_settings& settings,
                                                        server_handler& handler)
 {
     const auto fd = open_listener(address);
     if (!fd.ok()) {
         return fd.status();
     }
-    auto made = std::make_unique<implementation>(loop, most_body_bytes, handler);
+    auto made = std::make_unique<implementation>(loop, settings, handler);
     made->accept_from(*fd);
     return std::unique_ptr<server>{new server{std::move(made)}};
 }
@@ -365,8 +464,7 @@
 
 void server::respond(exchange_id exchange, const response_head& head, std::string_view body)
 {
-    send_head(exchange, head);
-    send(exchange, body, true);
+    implementation_->respond(exchange, head, body);
 }
 
 void server::abort(exchange_id exchange)
@@ -374,6 +472,16 @@
     implementation_->abort(exchange);
 }
 
+void server::set_settings(const server_settings& settings)
+{
+    implementation_->set_settings(settings);
+}
+
+void server::close_after_answers()
+{
+    implementation_->close_after_answers();
+}
+
 void server::stop_accepting()
 {
     implementation_->stop_accepting();
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -7,7 +7,9 @@
 #include <absl/status/statusor.h>
 
 #include "core/socket_address.hpp"
+#include "core/time.hpp"
 #include "http/http_types.hpp"
+#include "http/message_reader.hpp"
 #include "task/event_loop.hpp"
 
 namespace cyclamen::http {
@@ -24,18 +26,33 @@
     virtual void on_gone(exchange_id exchange) = 0;
 };
 
-/// HTTP server of one task, over h2o.
+/// Limits of a server.
+struct server_settings {
+    const message_limits messages;
+    /// Longest time from the first byte of a request to its last one.
+    const core::duration request_limit = std::chrono::seconds{30};
+    /// Longest time that a connection may stay without a request.
+    const core::duration idle_limit = std::chrono::minutes{10};
+    /// How long sent bytes may stay without an acknowledgement of the peer's machine.
+    const core::duration unacknowledged_limit = std::chrono::seconds{30};
+    /// Bytes of answers that may wait for one peer; a connection past it is closed.
+    const std::size_t most_unsent_bytes = 8 * 1024 * 1024;
+
+    auto operator<=>(const server_settings&) const = default;
+};
+
+/// HTTP/1.1 server of one task.
 class server {
   public:
     /// Binds an address and starts to listen.
     /// @param loop event loop of the owning task
     /// @param address where to listen
-    /// @param most_body_bytes larger request bodies are refused with status 413
+    /// @param settings limits
     /// @param handler receives the requests; outlives the server
     /// @return the server, or unavailable where the address can't be bound
     [[nodiscard]] static absl::StatusOr<std::unique_ptr<server>>
-    listen(task::event_loop& loop, const core::socket_address& address, std::size_t most_body_bytes,
-           server_handler& handler);
+    listen(task::event_loop& loop, const core::socket_address& address,
+           const server_settings& settings, server_handler& handler);
 
     ~server();
     server(const server&) = delete;
@@ -53,9 +70,15 @@
     /// Sends a whole response.
     void respond(exchange_id exchange, const response_head& head, std::string_view body);
 
-    /// Ends the connection without finishing the response.
+    /// Closes the connection without finishing the response, which thus looks cut.
     void abort(exchange_id exchange);
 
+    /// Replaces the limits, for requests and waits that begin from now on.
+    void set_settings(const server_settings& settings);
+
+    /// Announces with every answer that its connection closes.
+    void close_after_answers();
+
     /// Accepts no further connections and closes idle ones.
     void stop_accepting();
 
--- /dev/null
+++ b/src/http/tcp_stream.cpp
@@ -0,0 +1,147 @@
+#include "http/tcp_stream.hpp"
+
+#include <arpa/inet.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <cerrno>
+#include <cstring>
+
+#include "core/error.hpp"
+#include "core/text.hpp"
+#include "task/h2o.hpp"
+
+namespace cyclamen::http {
+
+namespace {
+
+void set_options(int descriptor, core::duration unacknowledged_limit)
+{
+    const int on = 1;
+    ::setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    const auto limit_ms = static_cast<unsigned>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(unacknowledged_limit).count());
+    ::setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &limit_ms, sizeof(limit_ms));
+}
+
+} // namespace
+
+tcp_stream::tcp_stream(st_h2o_socket_t* accepted, core::duration unacknowledged_limit,
+                       stream_listener& listener)
+    : tcp_stream{accepted, true, unacknowledged_limit, listener}
+{
+}
+
+tcp_stream::tcp_stream(st_h2o_socket_t* socket, bool connected, core::duration unacknowledged_limit,
+                       stream_listener& listener)
+    : socket_{socket}, listener_{listener}, connected_{connected}
+{
+    socket_->data = this;
+    set_options(h2o_socket_get_fd(socket_), unacknowledged_limit);
+}
+
+absl::StatusOr<std::unique_ptr<tcp_stream>> tcp_stream::connect(task::event_loop& loop,
+                                                                const core::socket_address& address,
+                                                                core::duration unacknowledged_limit,
+                                                                stream_listener& listener)
+{
+    sockaddr_in to{};
+    to.sin_family = AF_INET;
+    to.sin_port = htons(address.port);
+    ::inet_pton(AF_INET, address.ip.c_str(), &to.sin_addr);
+    h2o_socket_t* socket = h2o_socket_connect(loop.native(), reinterpret_cast<sockaddr*>(&to),
+                                              sizeof(to), on_connected);
+    if (socket == nullptr) {
+        return core::make_error(
+            core::error_kind::unavailable,
+            core::concat("can't connect to ", core::to_string(address), ": ", std::strerror(errno)),
+            "free descriptors or try another target");
+    }
+    return std::unique_ptr<tcp_stream>{
+        new tcp_stream{socket, false, unacknowledged_limit, listener}};
+}
+
+tcp_stream::~tcp_stream()
+{
+    h2o_socket_close(socket_);
+}
+
+void tcp_stream::write(std::string_view bytes)
+{
+    waiting_.append(bytes);
+    if (!waiting_.empty() && connected_ && in_flight_.empty()) {
+        send_waiting();
+    }
+}
+
+std::string_view tcp_stream::input() const
+{
+    return {socket_->input->bytes, socket_->input->size};
+}
+
+void tcp_stream::consume(std::size_t count)
+{
+    h2o_buffer_consume(&socket_->input, count);
+}
+
+void tcp_stream::start_reading()
+{
+    h2o_socket_read_start(socket_, on_readable);
+}
+
+void tcp_stream::stop_reading()
+{
+    h2o_socket_read_stop(socket_);
+}
+
+void tcp_stream::send_waiting()
+{
+    in_flight_.swap(waiting_);
+    h2o_iovec_t bytes = h2o_iovec_init(in_flight_.data(), in_flight_.size());
+    h2o_socket_write(socket_, &bytes, 1, on_written);
+}
+
+void tcp_stream::on_connected(st_h2o_socket_t* socket, const char* error)
+{
+    auto* self = static_cast<tcp_stream*>(socket->data);
+    if (error != nullptr) {
+        self->listener_.on_end(stream_end::broken);
+        return;
+    }
+    self->connected_ = true;
+    if (!self->waiting_.empty()) {
+        self->send_waiting();
+    }
+    self->start_reading();
+    self->listener_.on_connected();
+}
+
+void tcp_stream::on_readable(st_h2o_socket_t* socket, const char* error)
+{
+    auto* self = static_cast<tcp_stream*>(socket->data);
+    if (error == nullptr) {
+        self->listener_.on_bytes();
+        return;
+    }
+    self->stop_reading();
+    self->listener_.on_end(error == h2o_socket_error_closed ? stream_end::closed
+                                                            : stream_end::broken);
+}
+
+void tcp_stream::on_written(st_h2o_socket_t* socket, const char* error)
+{
+    auto* self = static_cast<tcp_stream*>(socket->data);
+    self->in_flight_.clear();
+    if (error != nullptr) {
+        self->stop_reading();
+        self->listener_.on_end(stream_end::broken);
+        return;
+    }
+    if (!self->waiting_.empty()) {
+        self->send_waiting();
+        return;
+    }
+    self->listener_.on_sent();
+}
+
+} // namespace cyclamen::http
--- /dev/null
+++ b/src/http/tcp_stream.hpp
@@ -0,0 +1,101 @@
+#pragma once
+
+#include <cstddef>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include <absl/status/statusor.h>
+
+#include "core/socket_address.hpp"
+#include "core/time.hpp"
+#include "task/event_loop.hpp"
+
+struct st_h2o_socket_t;
+
+namespace cyclamen::http {
+
+/// How a TCP connection has ended.
+enum class stream_end {
+    /// The peer closed it in order.
+    closed,
+    /// It was reset, or could not be established.
+    broken,
+};
+
+/// Receives what a TCP connection hears. Called on the thread of the loop, never from within a call
+/// of the owner; it may destroy the stream.
+class stream_listener {
+  public:
+    virtual ~stream_listener() = default;
+
+    /// The connection is established.
+    virtual void on_connected() {}
+
+    /// More bytes can be read from input().
+    virtual void on_bytes() = 0;
+
+    /// All bytes written so far have left the process.
+    virtual void on_sent() {}
+
+    /// Nothing more can be read.
+    virtual void on_end(stream_end end) = 0;
+};
+
+/// One TCP connection over an h2o socket, with an unbounded queue of bytes to write.
+class tcp_stream {
+  public:
+    /// Takes over an accepted socket.
+    /// @param accepted the socket, reading nothing yet
+    /// @param unacknowledged_limit how long sent bytes may stay without an acknowledgement
+    /// @param listener outlives the stream
+    tcp_stream(st_h2o_socket_t* accepted, core::duration unacknowledged_limit,
+               stream_listener& listener);
+
+    /// Starts to connect.
+    /// @param loop event loop of the owning task
+    /// @param address the peer
+    /// @param unacknowledged_limit how long sent bytes may stay without an acknowledgement
+    /// @param listener outlives the stream
+    /// @return the stream, or unavailable where no socket can be opened
+    [[nodiscard]] static absl::StatusOr<std::unique_ptr<tcp_stream>>
+    connect(task::event_loop& loop, const core::socket_address& address,
+            core::duration unacknowledged_limit, stream_listener& listener);
+
+    /// Closes the connection. Unsent bytes are dropped.
+    ~tcp_stream();
+    tcp_stream(const tcp_stream&) = delete;
+    tcp_stream& operator=(const tcp_stream&) = delete;
+
+    /// Sends bytes after those that wait.
+    void write(std::string_view bytes);
+
+    /// @return bytes that wait in this process
+    [[nodiscard]] std::size_t unsent() const { return in_flight_.size() + waiting_.size(); }
+
+    /// @return bytes received and not consumed
+    [[nodiscard]] std::string_view input() const;
+
+    /// Drops the first bytes of input().
+    void consume(std::size_t count);
+
+    void start_reading();
+    void stop_reading();
+
+  private:
+    st_h2o_socket_t* socket_;
+    stream_listener& listener_;
+    std::string waiting_;
+    std::string in_flight_;
+    bool connected_;
+
+    tcp_stream(st_h2o_socket_t* socket, bool connected, core::duration unacknowledged_limit,
+               stream_listener& listener);
+    void send_waiting();
+
+    static void on_connected(st_h2o_socket_t* socket, const char* error);
+    static void on_readable(st_h2o_socket_t* socket, const char* error);
+    static void on_written(st_h2o_socket_t* socket, const char* error);
+};
+
+} // namespace cyclamen::http
--- a/src/instance/call_component.cpp
+++ b/src/instance/call_component.cpp
@@ -9,7 +9,7 @@
 call_component::call_component(const call::call_settings& settings, std::string origin,
                                std::shared_ptr<const chart::chart> definition,
                                std::unique_ptr<routing::target_chooser> chooser,
-                               platform::table_client& table, senders& out)
+                               table::table_client& table, senders& out)
     : out_{out}, table_{table}, chooser_{std::move(chooser)}, store_{table},
       manager_{settings, std::move(origin), std::move(definition), *chooser_, store_, *this}
 {
--- a/src/instance/call_component.hpp
+++ b/src/instance/call_component.hpp
@@ -7,8 +7,8 @@
 #include "call/table_claim_store.hpp"
 #include "instance/component.hpp"
 #include "instance/senders.hpp"
-#include "platform/table_client.hpp"
 #include "routing/target_chooser.hpp"
+#include "table/table_client.hpp"
 
 namespace cyclamen::instance {
 
@@ -23,7 +23,7 @@
     /// @param out reaches the tasks that own sockets
     call_component(const call::call_settings& settings, std::string origin,
                    std::shared_ptr<const chart::chart> definition,
-                   std::unique_ptr<routing::target_chooser> chooser, platform::table_client& table,
+                   std::unique_ptr<routing::target_chooser> chooser, table::table_client& table,
                    senders& out);
 
     /// @return a name that no other life of any instance has
@@ -42,7 +42,7 @@
 
   private:
     senders& out_;
-    platform::table_client& table_;
+    table::table_client& table_;
     std::unique_ptr<routing::target_chooser> chooser_;
     call::table_claim_store store_;
     call::call_manager manager_;
--- a/src/instance/config_component.cpp
+++ b/src/instance/config_component.cpp
@@ -25,7 +25,7 @@
 config_component::config_component(config_component_settings settings,
                                    std::shared_ptr<const chart::chart> write_chart,
                                    std::unique_ptr<config::revision_codec> codec,
-                                   platform::table_client& table, membership_component& members,
+                                   table::table_client& table, membership_component& members,
                                    senders& out, enforcer enforce)
     : settings_{std::move(settings)}, write_chart_{std::move(write_chart)},
       codec_{std::move(codec)}, table_{table}, members_{members}, out_{out}, enforce_{std::move(
--- a/src/instance/config_component.hpp
+++ b/src/instance/config_component.hpp
@@ -28,7 +28,7 @@
 class config_component final : public component,
                                public knowledge_source,
                                private config::keeper_host,
-                               private platform::table_listener,
+                               private table::table_listener,
                                private session_host {
   public:
     /// Puts a configuration into force at all components.
@@ -43,7 +43,7 @@
     /// @param enforce puts a configuration into force
     config_component(config_component_settings settings,
                      std::shared_ptr<const chart::chart> write_chart,
-                     std::unique_ptr<config::revision_codec> codec, platform::table_client& table,
+                     std::unique_ptr<config::revision_codec> codec, table::table_client& table,
                      membership_component& members, senders& out, enforcer enforce);
 
     void on_start(core::instant now) override;
@@ -67,7 +67,7 @@
     const config_component_settings settings_;
     const std::shared_ptr<const chart::chart> write_chart_;
     const std::unique_ptr<config::revision_codec> codec_;
-    platform::table_client& table_;
+    table::table_client& table_;
     membership_component& members_;
     senders& out_;
     const enforcer enforce_;
@@ -101,7 +101,7 @@
 
     void answer(api::operator_answer given) override;
     void take_over(const api::configuration_copy& accepted, core::instant now) override;
-    [[nodiscard]] platform::table_client& table() override { return table_; }
+    [[nodiscard]] table::table_client& table() override { return table_; }
     [[nodiscard]] const config::revision_codec& codec() const override { return *codec_; }
     [[nodiscard]] std::shared_ptr<const chart::chart> write_chart() const override
     {
--- a/src/instance/instance.hpp
+++ b/src/instance/instance.hpp
@@ -17,9 +17,9 @@
 #include "instance/platform_component.hpp"
 #include "limits/fleet_news.hpp"
 #include "peer/peer_task.hpp"
-#include "platform/platform_task.hpp"
 #include "routing/target_chooser.hpp"
 #include "settings/instance_settings.hpp"
+#include "table/table_task.hpp"
 #include "task/channel.hpp"
 
 namespace cyclamen::instance {
@@ -65,7 +65,7 @@
     std::unique_ptr<peer::peer_task> peers_;
     std::shared_ptr<task::channel<api::instance_left>> left_ =
         std::make_shared<task::channel<api::instance_left>>();
-    platform::platform_task platform_;
+    table::table_task platform_;
     http::service_task services_;
     senders out_;
 
--- a/src/instance/operator_session.hpp
+++ b/src/instance/operator_session.hpp
@@ -6,7 +6,7 @@
 #include "api/operator_messages.hpp"
 #include "config/configuration_write.hpp"
 #include "instance/component.hpp"
-#include "platform/table_client.hpp"
+#include "table/table_client.hpp"
 
 namespace cyclamen::instance {
 
@@ -21,14 +21,14 @@
     /// Takes over a configuration that was read back.
     virtual void take_over(const api::configuration_copy& accepted, core::instant now) = 0;
 
-    [[nodiscard]] virtual platform::table_client& table() = 0;
+    [[nodiscard]] virtual table::table_client& table() = 0;
     [[nodiscard]] virtual const config::revision_codec& codec() const = 0;
     [[nodiscard]] virtual std::shared_ptr<const chart::chart> write_chart() const = 0;
 };
 
 /// One request of an operator that needs the table. It lives until it is done and the table has
 /// answered all that it asked.
-class operator_session : public platform::table_listener {
+class operator_session : public table::table_listener {
   public:
     operator_session(core::caller_id caller, session_host& host) : caller_{caller}, host_{host} {}
 
--- a/src/instance/platform_component.cpp
+++ b/src/instance/platform_component.cpp
@@ -2,7 +2,7 @@
 
 namespace cyclamen::instance {
 
-platform_component::platform_component(platform::table_client_settings settings, senders& out)
+platform_component::platform_component(table::table_client_settings settings, senders& out)
     : table_{settings,
              [&out](api::table_command command) { out.platform.send(std::move(command)); }}
 {
--- a/src/instance/platform_component.hpp
+++ b/src/instance/platform_component.hpp
@@ -2,7 +2,7 @@
 
 #include "instance/component.hpp"
 #include "instance/senders.hpp"
-#include "platform/table_client.hpp"
+#include "table/table_client.hpp"
 
 namespace cyclamen::instance {
 
@@ -11,17 +11,17 @@
   public:
     /// @param settings how commits are gathered
     /// @param out reaches the platform task
-    platform_component(platform::table_client_settings settings, senders& out);
+    platform_component(table::table_client_settings settings, senders& out);
 
     /// @return how other components reach the table service
-    [[nodiscard]] platform::table_client& table() { return table_; }
+    [[nodiscard]] table::table_client& table() { return table_; }
 
     void on_message(const decision_message& message, core::instant now) override;
     [[nodiscard]] std::optional<core::instant> next_due() const override;
     void on_time(core::instant now) override;
 
   private:
-    platform::table_client table_;
+    table::table_client table_;
 };
 
 } // namespace cyclamen::instance
--- a/src/membership/instance_life.cpp
+++ b/src/membership/instance_life.cpp
@@ -1,7 +1,5 @@
 #include "membership/instance_life.hpp"
 
-#include <algorithm>
-
 namespace cyclamen::membership {
 
 instance_life::instance_life(life_settings settings, std::shared_ptr<const chart::chart> definition,
@@ -22,24 +20,11 @@
     machine_.raise(static_cast<chart::symbol>(event), *this);
 }
 
-std::optional<core::instant> instance_life::next_due() const
-{
-    std::optional<core::instant> next;
-    for (const auto& [timeout, timer] : timers_) {
-        next = std::min(next.value_or(timer.first), timer.first);
-    }
-    return next;
-}
-
 void instance_life::on_time(core::instant now)
 {
     now_ = now;
-    for (auto next = next_due(); next.has_value() && *next <= now; next = next_due()) {
-        const auto due = std::find_if(timers_.begin(), timers_.end(),
-                                      [&](const auto& each) { return each.second.first == *next; });
-        const chart::symbol event = due->second.second;
-        timers_.erase(due);
-        machine_.raise(event, *this);
+    for (auto event = timers_.take_ended(now); event.has_value(); event = timers_.take_ended(now)) {
+        machine_.raise(*event, *this);
     }
 }
 
@@ -75,12 +60,12 @@
 void instance_life::start_timer(chart::state_timeout timeout)
 {
     const auto which = static_cast<instance_timeout>(timeout.timeout);
-    timers_.insert_or_assign(timeout.timeout, std::pair{now_ + length_of(which), timeout.event});
+    timers_.start(timeout, now_ + length_of(which));
 }
 
 void instance_life::stop_timer(chart::state_timeout timeout)
 {
-    timers_.erase(timeout.timeout);
+    timers_.stop(timeout);
 }
 
 core::duration instance_life::length_of(instance_timeout timeout) const
--- a/src/membership/instance_life.hpp
+++ b/src/membership/instance_life.hpp
@@ -1,11 +1,11 @@
 #pragma once
 
-#include <map>
 #include <memory>
 #include <optional>
 
 #include "api/peer_messages.hpp"
 #include "chart/machine.hpp"
+#include "chart/timer_set.hpp"
 #include "core/time.hpp"
 #include "membership/instance_chart.hpp"
 
@@ -53,7 +53,7 @@
     void raise(instance_event event, core::instant now);
 
     /// @return when on_time() should be called next
-    [[nodiscard]] std::optional<core::instant> next_due() const;
+    [[nodiscard]] std::optional<core::instant> next_due() const { return timers_.next_due(); }
 
     /// Raises the events of timers that have ended.
     void on_time(core::instant now);
@@ -70,7 +70,7 @@
     const life_settings settings_;
     chart::machine machine_;
     life_host& host_;
-    std::map<chart::symbol, std::pair<core::instant, chart::symbol>> timers_;
+    chart::timer_set timers_;
     core::instant now_;
     bool work_cut_ = false;
 
--- /dev/null
+++ b/src/relay/least_work_chooser.hpp
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "relay/relay_settings.hpp"
+#include "relay/target_chooser.hpp"
+
+namespace cyclamen::relay {
+
+/// Takes the target where this instance has least work, near its own place in the ring of targets:
+/// instances that know nothing of each other's work thus prefer different targets.
+class least_work_chooser final : public target_chooser {
+  public:
+    explicit least_work_chooser(placement_settings settings) : settings_{settings} {}
+
+    [[nodiscard]] std::size_t choose(const std::vector<candidate>& candidates,
+                                     const core::failure_domain_name& home) override;
+
+  private:
+    const placement_settings settings_;
+};
+
+} // namespace cyclamen::relay
--- /dev/null
+++ b/src/relay/placement.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <compare>
+#include <optional>
+#include <set>
+
+#include "core/identifier.hpp"
+#include "relay/target.hpp"
+
+namespace cyclamen::relay {
+
+/// What a request needs of a target.
+struct placement_query {
+    const core::service_name service;
+    /// Tokens that an engine must read before the first event; 0 for plain services.
+    const std::uint64_t prompt_tokens;
+    /// Targets that have been tried; they come last.
+    const std::set<core::target_name> tried;
+    /// Failure domain of the target that was tried last; others go first.
+    const std::optional<core::failure_domain_name> lost_domain;
+    /// Target that holds a copy of the request's memory.
+    const std::optional<core::target_name> copy_at;
+    /// True where a second target in another failure domain should get a copy.
+    const bool wants_standby;
+
+    bool operator==(const placement_query&) const = default;
+};
+
+/// Where a request goes.
+struct placement {
+    const target_record target;
+    const std::optional<target_record> standby;
+    /// True where the target goes on from its copy.
+    const bool from_copy;
+
+    auto operator<=>(const placement&) const = default;
+};
+
+} // namespace cyclamen::relay
--- /dev/null
+++ b/src/relay/relay_charts.cpp
@@ -0,0 +1,26 @@
+#include "relay/relay_charts.hpp"
+
+#include "relay/entry_life.hpp"
+#include "relay/request_chart.hpp"
+#include "routing/target_health_chart.hpp"
+
+namespace cyclamen::relay {
+
+absl::StatusOr<relay_charts> relay_charts::load(const chart::library& files)
+{
+    const auto request = files.load("relayed_request", request_vocabulary());
+    if (!request.ok()) {
+        return request.status();
+    }
+    const auto life = files.load("entry_life", entry_life_vocabulary());
+    if (!life.ok()) {
+        return life.status();
+    }
+    const auto health = files.load("target_health", routing::target_health_vocabulary());
+    if (!health.ok()) {
+        return health.status();
+    }
+    return relay_charts{*request, *life, *health};
+}
+
+} // namespace cyclamen::relay
--- /dev/null
+++ b/src/relay/relay_manager.cpp
@@ -0,0 +1,288 @@
+#include "relay/relay_manager.hpp"
+
+#include "core/hash.hpp"
+#include "core/log.hpp"
+#include "core/text.hpp"
+
+namespace cyclamen::relay {
+
+relay_manager::relay_manager(const relay_settings& settings, const relay_charts& charts,
+                             std::unique_ptr<target_chooser> chooser, relay_host& host)
+    : settings_{settings}, charts_{charts}, host_{host}, targets_{settings_, charts.target_health,
+                                                                  std::move(chooser)},
+      budget_{settings.retries}, life_{settings.life, charts.life, *this}
+{
+}
+
+relay_manager::~relay_manager() = default;
+
+void relay_manager::start(core::instant now)
+{
+    now_ = now;
+    life_.start(now);
+}
+
+void relay_manager::handle(const relay_message& message, core::instant now)
+{
+    now_ = now;
+    std::visit([this](const auto& each) { on(each); }, message);
+}
+
+void relay_manager::on_time(core::instant now)
+{
+    now_ = now;
+    while (!due_order_.empty() && due_order_.begin()->first <= now) {
+        const request_number number = due_order_.begin()->second;
+        requests_.at(number)->on_time(now);
+        settle(number);
+    }
+    life_.on_time(now);
+}
+
+std::optional<core::instant> relay_manager::next_due() const
+{
+    std::optional<core::instant> next = life_.next_due();
+    if (!due_order_.empty()) {
+        next = std::min(next.value_or(due_order_.begin()->first), due_order_.begin()->first);
+    }
+    return next;
+}
+
+void relay_manager::on(const submission& heard)
+{
+    if (table_ == nullptr) {
+        refuse(heard, core::error_kind::overloaded, "no configuration yet", true);
+        return;
+    }
+    const route* way = table_->find_route(heard.content->host, heard.content->path);
+    if (way == nullptr) {
+        refuse(heard, core::error_kind::not_found, "no route", true);
+        return;
+    }
+    core::account_name account;
+    if (table_->needs_keys() && !way->is_public) {
+        const core::account_name* found = table_->find_account(heard.key);
+        if (found == nullptr) {
+            refuse(heard, core::error_kind::unauthenticated, "unknown key", true);
+            return;
+        }
+        account = *found;
+    }
+    const core::service_name& service = pick_service(*way, heard);
+    const service_traits* traits = table_->find_service(service);
+    last_request_ = last_request_.next();
+    const request_number number = last_request_;
+    request_plan plan{
+        number,  heard, *way, service, traits == nullptr ? std::nullopt : traits->engine,
+        account, now_};
+    auto made = std::make_unique<relayed_request>(
+        std::move(plan), settings_.requests, charts_.request, static_cast<request_host&>(*this));
+    relayed_request& started = *requests_.emplace(number, std::move(made)).first->second;
+    callers_.emplace(heard.caller, number);
+    budget_.on_request(service, now_);
+    started.start(now_);
+    settle(number);
+}
+
+void relay_manager::on(const caller_gone& heard)
+{
+    const auto found = callers_.find(heard.caller);
+    if (found != callers_.end()) {
+        const request_number number = found->second;
+        requests_.at(number)->on_caller_gone(now_);
+        settle(number);
+    }
+}
+
+void relay_manager::on(const configuration_read& heard)
+{
+    if (table_ != nullptr && heard.table->number() <= table_->number()) {
+        return;
+    }
+    core::log_event(core::log_level::info, "configuration_applied",
+                    {{"revision", heard.table->number().value()},
+                     {"before", table_ == nullptr ? 0 : table_->number().value()},
+                     {"routes", heard.table->routes().size()}});
+    table_ = heard.table;
+    host_.send(limits_changed{table_->limits()});
+    check_ready();
+}
+
+void relay_manager::on(const targets_listed& heard)
+{
+    targets_.on_targets(heard, now_);
+    check_ready();
+}
+
+void relay_manager::on(const members_listed& heard)
+{
+    if (heard.members == members_.get()) {
+        return;
+    }
+    members_.set(heard.members);
+    core::log_event(core::log_level::info, "instances_listed", {{"count", members_.get().size()}});
+    budget_.set_instances(members_.get().size());
+    targets_.on_members(members_.get());
+    tell_directory();
+}
+
+void relay_manager::on(const stop_requested& /*heard*/)
+{
+    life_.raise(entry_life_event::stop_ordered, now_);
+}
+
+template <class Heard>
+void relay_manager::on(const Heard& heard)
+{
+    const request_number number = heard.attempt.request;
+    const auto found = requests_.find(number);
+    if (found != requests_.end() && found->second->attempt() == heard.attempt.number) {
+        found->second->on(heard, now_);
+        settle(number);
+    }
+}
+
+void relay_manager::refuse(const submission& refused, core::error_kind kind,
+                           std::string_view problem, bool not_run)
+{
+    core::log_event(core::log_level::info, "request_refused",
+                    {{"request", refused.content->id},
+                     {"reason", problem},
+                     {"host", refused.content->host},
+                     {"path", refused.content->path},
+                     {"revision", table_ == nullptr ? 0 : table_->number().value()}});
+    host_.send(answer_refused{refused.caller, core::failure{kind, std::string{problem}, not_run,
+                                                            settings_.requests.retry_after}});
+}
+
+const core::service_name& relay_manager::pick_service(const route& way,
+                                                      const submission& submitted) const
+{
+    std::uint64_t total = 0;
+    for (const weighted_service& each : way.services) {
+        total += each.weight;
+    }
+    std::uint64_t draw = total == 0 ? 0 : core::hash_of(submitted.content->id) % total;
+    for (const weighted_service& each : way.services) {
+        if (draw < each.weight) {
+            return each.service;
+        }
+        draw -= each.weight;
+    }
+    return way.services.front().service;
+}
+
+void relay_manager::check_ready()
+{
+    if (table_ != nullptr && targets_.size() > 0) {
+        life_.raise(entry_life_event::ready, now_);
+    }
+}
+
+void relay_manager::tell_directory()
+{
+    host_.send(directory_changed{life_.is_serving(), members_.get()});
+}
+
+void relay_manager::settle(request_number number)
+{
+    const auto due = due_.find(number);
+    if (due != due_.end()) {
+        due_order_.erase({due->second, number});
+        due_.erase(due);
+    }
+    const auto found = requests_.find(number);
+    if (found->second->is_closed()) {
+        callers_.erase(found->second->plan().submitted.caller);
+        requests_.erase(found);
+        return;
+    }
+    if (const auto next = found->second->next_due(); next.has_value()) {
+        due_.emplace(number, *next);
+        due_order_.emplace(*next, number);
+    }
+}
+
+std::optional<placement> relay_manager::place(const placement_query& query)
+{
+    return targets_.choose(query, now_);
+}
+
+bool relay_manager::may_repeat(const core::service_name& service)
+{
+    return budget_.allows(service, now_);
+}
+
+void relay_manager::count_repeat(const core::service_name& service)
+{
+    budget_.on_repeat(service, now_);
+}
+
+void relay_manager::send(entry_command command)
+{
+    host_.send(std::move(command));
+}
+
+void relay_manager::send(target_command command)
+{
+    host_.send(std::move(command));
+}
+
+void relay_manager::on_opened(const placement& placed, std::uint64_t prompt_tokens)
+{
+    targets_.on_opened(placed, prompt_tokens);
+}
+
+void relay_manager::on_first_event(const core::target_name& target, std::uint64_t prompt_tokens)
+{
+    targets_.on_first_event(target, prompt_tokens);
+}
+
+void relay_manager::on_closed(const placement& placed, std::uint64_t unread_tokens)
+{
+    targets_.on_closed(placed, unread_tokens);
+}
+
+void relay_manager::on_loss(const core::target_name& target)
+{
+    targets_.on_loss(target, now_);
+}
+
+void relay_manager::on_success(const core::target_name& target)
+{
+    targets_.on_success(target, now_);
+}
+
+void relay_manager::on_misdirected(const core::target_name& target)
+{
+    targets_.on_misdirected(target);
+}
+
+void relay_manager::announce(bool serving)
+{
+    core::log_event(core::log_level::info, serving ? "instance_serving" : "instance_leaving",
+                    {{"open_requests", requests_.size()}});
+    host_.send(announce_member{serving});
+    host_.send(directory_changed{serving, members_.get()});
+    if (!serving) {
+        host_.send(entry_closing{false});
+    }
+}
+
+void relay_manager::refuse_connections()
+{
+    host_.send(entry_closing{true});
+}
+
+bool relay_manager::has_work() const
+{
+    return !requests_.empty();
+}
+
+void relay_manager::end_process(bool work_cut)
+{
+    core::log_event(core::log_level::info, "instance_ended", {{"work_cut", work_cut}});
+    host_.end_process(work_cut);
+}
+
+} // namespace cyclamen::relay
--- /dev/null
+++ b/src/relay/relay_manager.hpp
@@ -0,0 +1,109 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+
+#include "core/cell.hpp"
+#include "relay/entry_life.hpp"
+#include "relay/messages.hpp"
+#include "relay/relay_charts.hpp"
+#include "relay/relay_settings.hpp"
+#include "relay/relayed_request.hpp"
+#include "relay/retry_budget.hpp"
+#include "relay/target_directory.hpp"
+
+namespace cyclamen::relay {
+
+/// Carries out what the relay manager decides. Called on the decision task.
+class relay_host {
+  public:
+    virtual ~relay_host() = default;
+
+    virtual void send(entry_command command) = 0;
+    virtual void send(target_command command) = 0;
+    virtual void send(store_command command) = 0;
+
+    /// The process may end.
+    virtual void end_process(bool work_cut) = 0;
+};
+
+/// Owns the requests of an instance and what it knows of configuration, targets and instances.
+/// Opens no socket and reads no clock.
+class relay_manager final : private request_host, private entry_life_host {
+  public:
+    /// @param settings settings of the instance
+    /// @param charts the charts
+    /// @param chooser compares targets
+    /// @param host carries decisions out; outlives this object
+    relay_manager(const relay_settings& settings, const relay_charts& charts,
+                  std::unique_ptr<target_chooser> chooser, relay_host& host);
+    ~relay_manager() override;
+    relay_manager(const relay_manager&) = delete;
+    relay_manager& operator=(const relay_manager&) = delete;
+
+    void start(core::instant now);
+    void handle(const relay_message& message, core::instant now);
+
+    /// Raises the events of timers that have ended.
+    void on_time(core::instant now);
+
+    /// @return when on_time() should be called next
+    [[nodiscard]] std::optional<core::instant> next_due() const;
+
+    [[nodiscard]] std::size_t open_requests() const { return requests_.size(); }
+
+  private:
+    const relay_settings settings_;
+    const relay_charts charts_;
+    relay_host& host_;
+    target_directory targets_;
+    retry_budget budget_;
+    entry_life life_;
+    core::instant now_;
+    route_table_ptr table_;
+    core::cell<std::vector<member>> members_{std::vector<member>{}};
+    std::map<request_number, std::unique_ptr<relayed_request>> requests_;
+    std::map<caller_id, request_number> callers_;
+    std::map<request_number, core::instant> due_;
+    std::set<std::pair<core::instant, request_number>> due_order_;
+    request_number last_request_;
+
+    void on(const submission& heard);
+    void on(const caller_gone& heard);
+    void on(const configuration_read& heard);
+    void on(const targets_listed& heard);
+    void on(const members_listed& heard);
+    void on(const stop_requested& heard);
+    /// What a target said about an attempt goes to its request, where that still waits for it.
+    template <class Heard>
+    void on(const Heard& heard);
+
+    void refuse(const submission& refused, core::error_kind kind, std::string_view problem,
+                bool not_run);
+    [[nodiscard]] const core::service_name& pick_service(const route& way,
+                                                         const submission& submitted) const;
+    void check_ready();
+    void tell_directory();
+    void settle(request_number number);
+
+    std::optional<placement> place(const placement_query& query) override;
+    bool may_repeat(const core::service_name& service) override;
+    void count_repeat(const core::service_name& service) override;
+    void send(entry_command command) override;
+    void send(target_command command) override;
+    void on_opened(const placement& placed, std::uint64_t prompt_tokens) override;
+    void on_first_event(const core::target_name& target, std::uint64_t prompt_tokens) override;
+    void on_closed(const placement& placed, std::uint64_t unread_tokens) override;
+    void on_loss(const core::target_name& target) override;
+    void on_success(const core::target_name& target) override;
+    void on_misdirected(const core::target_name& target) override;
+
+    void announce(bool serving) override;
+    void refuse_connections() override;
+    [[nodiscard]] bool has_work() const override;
+    void end_process(bool work_cut) override;
+};
+
+} // namespace cyclamen::relay
--- /dev/null
+++ b/src/relay/relay_task.cpp
@@ -0,0 +1,78 @@
+#include "relay/relay_task.hpp"
+
+#include "relay/least_work_chooser.hpp"
+
+namespace cyclamen::relay {
+
+relay_task::relay_task(task::task_host& host, relay_settings settings, relay_charts charts)
+    : basic_task{"relay", host}, settings_{std::move(settings)}, charts_{std::move(charts)}
+{
+}
+
+void relay_task::connect(const relay_outboxes& to)
+{
+    entries_.emplace(to.entries, loop());
+    targets_.emplace(to.targets, loop());
+    store_.emplace(to.store, loop());
+    owner_.emplace(to.owner, loop());
+}
+
+absl::Status relay_task::on_start()
+{
+    manager_ = std::make_unique<relay_manager>(
+        settings_, charts_, std::make_unique<least_work_chooser>(settings_.placement),
+        static_cast<relay_host&>(*this));
+    manager_->start(now());
+    arm_timer();
+    return absl::OkStatus();
+}
+
+void relay_task::on_message(const relay_message& message)
+{
+    manager_->handle(message, now());
+    arm_timer();
+}
+
+void relay_task::on_stop()
+{
+    loop().cancel(timer_);
+    manager_.reset();
+}
+
+void relay_task::arm_timer()
+{
+    const auto due = manager_->next_due();
+    // A timer that ends too early only looks again.
+    if (!due.has_value() || (timer_due_.has_value() && *timer_due_ <= *due)) {
+        return;
+    }
+    loop().cancel(timer_);
+    timer_due_ = due;
+    timer_ = loop().run_at(*due, [this] {
+        timer_due_.reset();
+        manager_->on_time(now());
+        arm_timer();
+    });
+}
+
+void relay_task::send(entry_command command)
+{
+    entries_->send(std::move(command));
+}
+
+void relay_task::send(target_command command)
+{
+    targets_->send(std::move(command));
+}
+
+void relay_task::send(store_command command)
+{
+    store_->send(std::move(command));
+}
+
+void relay_task::end_process(bool work_cut)
+{
+    owner_->send(instance_left{work_cut});
+}
+
+} // namespace cyclamen::relay
--- /dev/null
+++ b/src/relay/relayed_request.cpp
@@ -0,0 +1,394 @@
+#include "relay/relayed_request.hpp"
+
+#include <algorithm>
+
+#include "core/log.hpp"
+#include "core/text.hpp"
+
+namespace cyclamen::relay {
+
+namespace {
+
+/// First status of failures that a target reports of itself.
+constexpr int first_failure_status = 500;
+
+/// Stands for a timer that the answer limit always precedes.
+constexpr core::duration no_limit = std::chrono::hours{1};
+
+core::duration part_of(core::duration whole, double part)
+{
+    return core::from_seconds(core::to_seconds(whole) * part);
+}
+
+} // namespace
+
+relayed_request::relayed_request(request_plan plan, const request_settings& settings,
+                                 std::shared_ptr<const chart::chart> definition, request_host& host)
+    : plan_{std::move(plan)}, settings_{settings}, machine_{std::move(definition)}, host_{host},
+      now_{plan_.accepted}, last_event_{plan_.submitted.last_event}
+{
+}
+
+void relayed_request::start(core::instant now)
+{
+    now_ = now;
+    machine_.start(*this);
+    if (follow_up_.has_value()) {
+        raise(*follow_up_, now);
+    }
+}
+
+void relayed_request::on_caller_gone(core::instant now)
+{
+    raise(request_event::caller_left, now);
+}
+
+void relayed_request::on(const stream_begun& heard, core::instant now)
+{
+    if (!answer_begun_) {
+        head_.emplace(heard.head);
+    }
+    raise(request_event::stream_begun, now);
+}
+
+void relayed_request::on(const stream_events& heard, core::instant now)
+{
+    heard_bytes_ = heard.bytes;
+    last_event_ = heard.last_event;
+    raise(request_event::events_arrived, now);
+}
+
+void relayed_request::on(const stream_finished& /*heard*/, core::instant now)
+{
+    raise(request_event::stream_finished, now);
+}
+
+void relayed_request::on(const attempt_answered& heard, core::instant now)
+{
+    may_have_run_ = true;
+    heard_answer_.emplace(heard);
+    raise(request_event::answer_arrived, now);
+}
+
+void relayed_request::on(const attempt_rejected& heard, core::instant now)
+{
+    loss_detail_ = core::concat("rejected with ", heard.status);
+    if (heard.misdirected) {
+        host_.on_misdirected(placed_->get().target.name);
+    }
+    --runs_;
+    raise(request_event::attempt_rejected, now);
+}
+
+void relayed_request::on(const attempt_lost& heard, core::instant now)
+{
+    attempt_sent_ = heard.sent;
+    if (heard.sent) {
+        may_have_run_ = true;
+    }
+    else {
+        --runs_;
+    }
+    loss_detail_ = heard.detail;
+    raise(request_event::attempt_lost, now);
+}
+
+void relayed_request::on(const target_alive& /*heard*/, core::instant now)
+{
+    raise(request_event::target_alive, now);
+}
+
+void relayed_request::on_time(core::instant now)
+{
+    for (auto event = timers_.take_ended(now); event.has_value(); event = timers_.take_ended(now)) {
+        raise(static_cast<request_event>(*event), now);
+    }
+}
+
+void relayed_request::raise(request_event event, core::instant now)
+{
+    now_ = now;
+    // Nobody knows any more what a target does that is given up while it has the request.
+    may_have_run_ = may_have_run_ || (event == request_event::time_up && placed_.has_value());
+    std::optional<request_event> next = event;
+    while (next.has_value()) {
+        follow_up_.reset();
+        machine_.raise(static_cast<chart::symbol>(*next), *this);
+        next = follow_up_;
+    }
+}
+
+bool relayed_request::is_idempotent() const
+{
+    return plan_.way.kind == request_kind::safe ||
+           (plan_.way.kind == request_kind::streaming && plan_.way.resumable);
+}
+
+core::instant relayed_request::answer_due() const
+{
+    return plan_.accepted + std::min(plan_.submitted.patience, plan_.way.answer_limit);
+}
+
+core::duration relayed_request::length_of(request_timeout timeout) const
+{
+    const core::duration pause_goal = plan_.way.pause_goal > core::duration::zero()
+                                          ? plan_.way.pause_goal
+                                          : plan_.way.answer_goal;
+    switch (timeout) {
+    case request_timeout::answer_limit:
+        return answer_due() - now_;
+    case request_timeout::placement_pause:
+        return settings_.placement_pause;
+    case request_timeout::first_answer_limit:
+        if (plan_.way.kind == request_kind::unsafe) {
+            return no_limit;
+        }
+        return part_of(plan_.way.answer_goal, plan_.engine.has_value()
+                                                  ? settings_.first_answer_part
+                                                  : settings_.safe_repeat_part);
+    case request_timeout::pause_limit:
+        return part_of(pause_goal, settings_.pause_part);
+    case request_timeout::question_limit:
+        break;
+    }
+    return part_of(pause_goal, settings_.question_part);
+}
+
+bool relayed_request::holds(chart::symbol guard) const
+{
+    switch (static_cast<request_guard>(guard)) {
+    case request_guard::answer_begun:
+        return answer_begun_;
+    case request_guard::may_have_run:
+        return may_have_run_;
+    case request_guard::may_wait:
+        return now_ - plan_.accepted < part_of(plan_.way.answer_goal, settings_.placement_part);
+    case request_guard::may_offer_again:
+        return offers_ < settings_.most_offers && host_.may_repeat(plan_.service);
+    case request_guard::may_go_on:
+        if (!attempt_sent_) {
+            return offers_ < settings_.most_offers;
+        }
+        return is_idempotent() && runs_ < plan_.way.most_runs && host_.may_repeat(plan_.service);
+    case request_guard::replaces_failure:
+        return heard_answer_->get().head.status >= first_failure_status && is_idempotent() &&
+               !answer_begun_ && runs_ < plan_.way.most_runs && host_.may_repeat(plan_.service);
+    case request_guard::may_ask:
+        return plan_.engine.has_value();
+    case request_guard::events_seen:
+        break;
+    }
+    return attempt_has_events_;
+}
+
+void relayed_request::perform(chart::symbol action)
+{
+    switch (static_cast<request_action>(action)) {
+    case request_action::seek_target:
+        seek_target();
+        break;
+    case request_action::open_attempt:
+        open();
+        break;
+    case request_action::release_attempt:
+        release_attempt();
+        break;
+    case request_action::close_attempt:
+        if (placed_.has_value()) {
+            host_.send(relay::close_attempt{attempt_id{plan_.number, attempt_}});
+        }
+        break;
+    case request_action::ask_target:
+        host_.send(
+            relay::ask_target{attempt_id{plan_.number, attempt_}, placed_->get().target.address});
+        break;
+    case request_action::deliver_events:
+        deliver_events();
+        break;
+    case request_action::deliver_answer:
+        deliver_answer();
+        break;
+    case request_action::finish_answer:
+        finish_answer();
+        break;
+    case request_action::cut_answer:
+        host_.send(answer_cut{plan_.submitted.caller});
+        log_end("cut");
+        break;
+    case request_action::fail_late:
+        refuse(core::error_kind::deadline_exceeded, "no answer in time", false, {});
+        break;
+    case request_action::fail_lost:
+        refuse(core::error_kind::unavailable, "the target was lost", false, {});
+        break;
+    case request_action::refuse_late:
+        refuse(core::error_kind::overloaded, "no target in time", true, settings_.retry_after);
+        break;
+    case request_action::refuse_unplaced:
+        refuse(core::error_kind::overloaded, "no target can take it", true, settings_.retry_after);
+        break;
+    case request_action::refuse_rejected:
+        refuse(core::error_kind::overloaded, "targets are full", true, settings_.retry_after);
+        break;
+    case request_action::note_rejection:
+        note_end("attempt_rejected");
+        copy_at_.reset();
+        break;
+    case request_action::note_silence:
+        loss_detail_ = "silent";
+        may_have_run_ = true;
+        note_end("attempt_silent");
+        host_.on_loss(placed_->get().target.name);
+        break;
+    case request_action::note_loss:
+        note_end("attempt_lost");
+        host_.on_loss(placed_->get().target.name);
+        break;
+    case request_action::note_failure:
+        loss_detail_ = core::concat("status ", heard_answer_->get().head.status);
+        note_end("attempt_failed");
+        break;
+    case request_action::note_caller_left:
+        log_end("caller_left");
+        break;
+    }
+}
+
+void relayed_request::note_end(std::string_view event)
+{
+    const placement& placed = placed_->get();
+    tried_.insert(placed.target.name);
+    lost_domain_ = placed.target.domain;
+    // Only an answer that has begun needs its place in the stream kept by a copy.
+    const bool has_copy = attempt_has_events_ && placed.standby.has_value();
+    copy_at_ = has_copy ? std::optional{placed.standby->name} : std::nullopt;
+    core::log_event(core::log_level::info, event,
+                    {{"request", plan_.submitted.content->id},
+                     {"attempt", attempt_.value()},
+                     {"target", placed.target.name.str()},
+                     {"domain", placed.target.domain.str()},
+                     {"from_copy", placed.from_copy},
+                     {"copy_at", has_copy ? placed.standby->name.str() : "none"},
+                     {"last_event", last_event_.value_or("none")},
+                     {"after_ms", core::to_milliseconds(now_ - plan_.accepted)},
+                     {"detail", loss_detail_}});
+}
+
+void relayed_request::release_attempt()
+{
+    if (placed_.has_value()) {
+        host_.on_closed(placed_->get(), attempt_has_events_ ? 0 : plan_.submitted.prompt_tokens);
+        placed_.reset();
+    }
+}
+
+void relayed_request::seek_target()
+{
+    const bool wants_standby = plan_.engine.has_value() && plan_.engine->copies_memory &&
+                               plan_.way.kind == request_kind::streaming;
+    const auto found = host_.place(placement_query{plan_.service, plan_.submitted.prompt_tokens,
+                                                   tried_, lost_domain_, copy_at_, wants_standby});
+    if (!found.has_value()) {
+        follow_up_ = request_event::target_missing;
+        return;
+    }
+    placed_.emplace(*found);
+    follow_up_ = request_event::target_found;
+}
+
+void relayed_request::open()
+{
+    attempt_ = attempt_.next();
+    attempt_has_events_ = false;
+    attempt_sent_ = true;
+    const placement& placed = placed_->get();
+    if (offers_ > 0) {
+        host_.count_repeat(plan_.service);
+    }
+    ++offers_;
+    // Counted until the target says that it hasn't run it, or can't have received it.
+    ++runs_;
+    core::log_event(core::log_level::info, "attempt_opened",
+                    {{"request", plan_.submitted.content->id},
+                     {"attempt", attempt_.value()},
+                     {"target", placed.target.name.str()},
+                     {"domain", placed.target.domain.str()},
+                     {"standby", placed.standby.has_value() ? placed.standby->name.str() : "none"},
+                     {"from_copy", placed.from_copy},
+                     {"last_event", last_event_.value_or("none")},
+                     {"after_ms", core::to_milliseconds(now_ - plan_.accepted)}});
+    host_.on_opened(placed, plan_.submitted.prompt_tokens);
+    host_.send(relay::open_attempt{
+        attempt_id{plan_.number, attempt_}, placed.target.name, placed.target.address,
+        plan_.submitted.content, answer_due() - now_, plan_.account, last_event_,
+        placed.standby.has_value() ? std::optional{placed.standby->address} : std::nullopt,
+        placed.from_copy});
+}
+
+void relayed_request::begin_answer()
+{
+    if (!answer_begun_) {
+        answer_begun_ = true;
+        host_.send(answer_begun{plan_.submitted.caller, head_->get()});
+    }
+}
+
+void relayed_request::deliver_events()
+{
+    if (!attempt_has_events_) {
+        attempt_has_events_ = true;
+        host_.on_first_event(placed_->get().target.name, plan_.submitted.prompt_tokens);
+        host_.on_success(placed_->get().target.name);
+    }
+    begin_answer();
+    host_.send(answer_events{plan_.submitted.caller, std::move(heard_bytes_)});
+}
+
+void relayed_request::finish_answer()
+{
+    begin_answer();
+    host_.send(answer_finished{plan_.submitted.caller});
+    log_end("finished");
+}
+
+void relayed_request::deliver_answer()
+{
+    const attempt_answered& answer = heard_answer_->get();
+    host_.on_success(placed_->get().target.name);
+    host_.send(answer_whole{plan_.submitted.caller, answer.head, answer.body});
+    log_end("answered");
+}
+
+void relayed_request::refuse(core::error_kind kind, std::string_view problem, bool not_run,
+                             core::duration retry_after)
+{
+    host_.send(answer_refused{plan_.submitted.caller,
+                              core::failure{kind, std::string{problem}, not_run, retry_after}});
+    log_end(not_run ? "refused" : "failed");
+}
+
+void relayed_request::log_end(std::string_view outcome) const
+{
+    core::log_event(core::log_level::info, "request_ended",
+                    {{"request", plan_.submitted.content->id},
+                     {"outcome", outcome},
+                     {"route", plan_.way.name},
+                     {"account", plan_.account.str()},
+                     {"attempts", attempt_.value()},
+                     {"runs", runs_},
+                     {"last_event", last_event_.value_or("none")},
+                     {"took_ms", core::to_milliseconds(now_ - plan_.accepted)}});
+}
+
+void relayed_request::start_timer(chart::state_timeout timeout)
+{
+    const auto which = static_cast<request_timeout>(timeout.timeout);
+    timers_.start(timeout, now_ + length_of(which));
+}
+
+void relayed_request::stop_timer(chart::state_timeout timeout)
+{
+    timers_.stop(timeout);
+}
+
+} // namespace cyclamen::relay
--- /dev/null
+++ b/src/relay/relayed_request.hpp
@@ -0,0 +1,141 @@
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "chart/machine.hpp"
+#include "chart/timer_set.hpp"
+#include "core/cell.hpp"
+#include "relay/messages.hpp"
+#include "relay/placement.hpp"
+#include "relay/relay_settings.hpp"
+#include "relay/request_chart.hpp"
+
+namespace cyclamen::relay {
+
+/// What a request needs of its surroundings. Called by relayed_request on the decision task.
+class request_host {
+  public:
+    virtual ~request_host() = default;
+
+    /// @return where the request should go, empty where there is no target
+    virtual std::optional<placement> place(const placement_query& query) = 0;
+
+    /// @return true where the fleet's budget has room for one more arrival at the service
+    virtual bool may_repeat(const core::service_name& service) = 0;
+
+    /// Counts an arrival at a service beyond the first one of a request.
+    virtual void count_repeat(const core::service_name& service) = 0;
+
+    virtual void send(entry_command command) = 0;
+    virtual void send(target_command command) = 0;
+
+    virtual void on_opened(const placement& placed, std::uint64_t prompt_tokens) = 0;
+    virtual void on_first_event(const core::target_name& target, std::uint64_t prompt_tokens) = 0;
+    virtual void on_closed(const placement& placed, std::uint64_t unread_tokens) = 0;
+
+    /// A target lost an attempt or failed.
+    virtual void on_loss(const core::target_name& target) = 0;
+    virtual void on_success(const core::target_name& target) = 0;
+    virtual void on_misdirected(const core::target_name& target) = 0;
+};
+
+/// What is fixed about a request when it is accepted.
+struct request_plan {
+    const request_number number;
+    const submission submitted;
+    const route way;
+    const core::service_name service;
+    const std::optional<engine_traits> engine;
+    const core::account_name account;
+    const core::instant accepted;
+
+    bool operator==(const request_plan&) const = default;
+};
+
+/// One caller's request: runs the chart `relayed_request`.
+class relayed_request final : private chart::actor {
+  public:
+    /// @param plan what is fixed about it
+    /// @param settings limits
+    /// @param definition the chart
+    /// @param host its surroundings; outlives this object
+    relayed_request(request_plan plan, const request_settings& settings,
+                    std::shared_ptr<const chart::chart> definition, request_host& host);
+
+    void start(core::instant now);
+
+    void on_caller_gone(core::instant now);
+    void on(const stream_begun& heard, core::instant now);
+    void on(const stream_events& heard, core::instant now);
+    void on(const stream_finished& heard, core::instant now);
+    void on(const attempt_answered& heard, core::instant now);
+    void on(const attempt_rejected& heard, core::instant now);
+    void on(const attempt_lost& heard, core::instant now);
+    void on(const target_alive& heard, core::instant now);
+
+    /// Raises the events of timers that have ended.
+    void on_time(core::instant now);
+
+    /// @return when on_time() should be called next
+    [[nodiscard]] std::optional<core::instant> next_due() const { return timers_.next_due(); }
+
+    /// @return true where the caller has its answer or has left
+    [[nodiscard]] bool is_closed() const { return machine_.is_final(); }
+
+    [[nodiscard]] const request_plan& plan() const { return plan_; }
+    [[nodiscard]] core::attempt_number attempt() const { return attempt_; }
+
+  private:
+    const request_plan plan_;
+    const request_settings& settings_;
+    chart::machine machine_;
+    request_host& host_;
+    core::instant now_;
+    chart::timer_set timers_;
+    /// Raised after the current event: a chart's action may not raise events itself.
+    std::optional<request_event> follow_up_;
+
+    core::attempt_number attempt_;
+    std::optional<core::cell<placement>> placed_;
+    std::set<core::target_name> tried_;
+    std::optional<core::failure_domain_name> lost_domain_;
+    std::optional<core::target_name> copy_at_;
+    std::uint32_t offers_ = 0;
+    std::uint32_t runs_ = 0;
+    bool may_have_run_ = false;
+    bool attempt_sent_ = false;
+    bool attempt_has_events_ = false;
+    bool answer_begun_ = false;
+    std::optional<std::string> last_event_;
+    std::optional<core::cell<answer_head>> head_;
+    std::string heard_bytes_;
+    std::optional<core::cell<attempt_answered>> heard_answer_;
+    std::string loss_detail_;
+
+    void raise(request_event event, core::instant now);
+    [[nodiscard]] bool is_idempotent() const;
+    [[nodiscard]] core::instant answer_due() const;
+    [[nodiscard]] core::duration length_of(request_timeout timeout) const;
+    void release_attempt();
+    void note_end(std::string_view event);
+    void refuse(core::error_kind kind, std::string_view problem, bool not_run,
+                core::duration retry_after);
+    void log_end(std::string_view outcome) const;
+
+    void seek_target();
+    void open();
+    void begin_answer();
+    void deliver_events();
+    void finish_answer();
+    void deliver_answer();
+
+    [[nodiscard]] bool holds(chart::symbol guard) const override;
+    void perform(chart::symbol action) override;
+    void start_timer(chart::state_timeout timeout) override;
+    void stop_timer(chart::state_timeout timeout) override;
+};
+
+} // namespace cyclamen::relay
--- /dev/null
+++ b/src/relay/retry_budget.cpp
@@ -0,0 +1,52 @@
+#include "relay/retry_budget.hpp"
+
+namespace cyclamen::relay {
+
+namespace {
+
+/// Slices of a window; more make it slide more evenly.
+constexpr int slices_in_window = 20;
+
+} // namespace
+
+void retry_budget::on_request(const core::service_name& service, core::instant now)
+{
+    ++current(service, now).requests;
+}
+
+void retry_budget::on_repeat(const core::service_name& service, core::instant now)
+{
+    ++current(service, now).repeats;
+}
+
+bool retry_budget::allows(const core::service_name& service, core::instant now) const
+{
+    std::uint64_t requests = 0;
+    std::uint64_t repeats = 0;
+    const auto found = slices_.find(service);
+    if (found != slices_.end()) {
+        for (const slice& each : found->second) {
+            if (now - each.begin < settings_.window) {
+                requests += each.requests;
+                repeats += each.repeats;
+            }
+        }
+    }
+    const double allowed = settings_.ratio * static_cast<double>(requests) +
+                           settings_.slack / static_cast<double>(instances_);
+    return static_cast<double>(repeats + 1) <= allowed * settings_.used_part;
+}
+
+retry_budget::slice& retry_budget::current(const core::service_name& service, core::instant now)
+{
+    std::deque<slice>& slices = slices_[service];
+    while (!slices.empty() && now - slices.front().begin >= settings_.window) {
+        slices.pop_front();
+    }
+    if (slices.empty() || now - slices.back().begin >= settings_.window / slices_in_window) {
+        slices.push_back(slice{now});
+    }
+    return slices.back();
+}
+
+} // namespace cyclamen::relay
--- /dev/null
+++ b/src/relay/retry_budget.hpp
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+
+#include "core/identifier.hpp"
+#include "core/time.hpp"
+#include "relay/relay_settings.hpp"
+
+namespace cyclamen::relay {
+
+/// This instance's part of the fleet's budget of repeats for each service: a ratio of its own
+/// requests, and an even part of the slack. Used by the relay manager on the decision task.
+class retry_budget {
+  public:
+    explicit retry_budget(retry_settings settings) : settings_{settings} {}
+
+    /// Says how many instances share the slack.
+    void set_instances(std::size_t count) { instances_ = count > 0 ? count : 1; }
+
+    /// Counts a request for a service.
+    void on_request(const core::service_name& service, core::instant now);
+
+    /// Counts a further arrival of a request at a service.
+    void on_repeat(const core::service_name& service, core::instant now);
+
+    /// @return true where one more repeat keeps within the budget
+    [[nodiscard]] bool allows(const core::service_name& service, core::instant now) const;
+
+  private:
+    /// Counts of one slice of the window.
+    struct slice {
+        core::instant begin;
+        std::uint64_t requests = 0;
+        std::uint64_t repeats = 0;
+    };
+
+    const retry_settings settings_;
+    std::size_t instances_ = 1;
+    std::map<core::service_name, std::deque<slice>> slices_;
+
+    slice& current(const core::service_name& service, core::instant now);
+};
+
+} // namespace cyclamen::relay
--- /dev/null
+++ b/src/relay/route_table.cpp
@@ -0,0 +1,45 @@
+#include "relay/route_table.hpp"
+
+namespace cyclamen::relay {
+
+route_table::route_table(core::revision number, std::vector<route> routes,
+                         std::vector<service_traits> services, std::vector<account> accounts,
+                         caller_limits limits)
+    : number_{number}, routes_{std::move(routes)}, needs_keys_{!accounts.empty()}, limits_{limits}
+{
+    for (const service_traits& each : services) {
+        services_.emplace(each.name, each);
+    }
+    for (const account& each : accounts) {
+        for (const std::string& key : each.keys) {
+            keys_.emplace(key, each.name);
+        }
+    }
+}
+
+const route* route_table::find_route(std::string_view host, std::string_view path) const
+{
+    const std::string_view plain = path.substr(0, path.find('?'));
+    const route* best = nullptr;
+    for (const route& each : routes_) {
+        const bool matches = each.host == host && plain.starts_with(each.prefix);
+        if (matches && (best == nullptr || each.prefix.size() > best->prefix.size())) {
+            best = &each;
+        }
+    }
+    return best;
+}
+
+const core::account_name* route_table::find_account(const std::string& key) const
+{
+    const auto found = keys_.find(key);
+    return found == keys_.end() ? nullptr : &found->second;
+}
+
+const service_traits* route_table::find_service(const core::service_name& name) const
+{
+    const auto found = services_.find(name);
+    return found == services_.end() ? nullptr : &found->second;
+}
+
+} // namespace cyclamen::relay
--- /dev/null
+++ b/src/relay/target_chooser.hpp
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+#include "relay/target.hpp"
+
+namespace cyclamen::relay {
+
+/// Work of this instance on a target.
+struct own_work {
+    std::uint32_t open = 0;
+    /// Prompt tokens of open requests that have sent nothing yet.
+    std::uint64_t unread_tokens = 0;
+    /// Requests whose memory is copied to it.
+    std::uint32_t copies = 0;
+
+    auto operator<=>(const own_work&) const = default;
+};
+
+/// A target that may be chosen.
+struct candidate {
+    const target_record* record;
+    const own_work* work;
+    /// Way round the ring of the service's targets from this instance's place, 0 to 0.5.
+    double distance;
+};
+
+/// Compares targets. Called by target_directory on the decision task.
+class target_chooser {
+  public:
+    virtual ~target_chooser() = default;
+
+    /// @param candidates at least one; all are equally fit to take work
+    /// @param home failure domain of this instance
+    /// @return index of the one to use
+    [[nodiscard]] virtual std::size_t choose(const std::vector<candidate>& candidates,
+                                             const core::failure_domain_name& home) = 0;
+};
+
+} // namespace cyclamen::relay
--- /dev/null
+++ b/src/relay/target_directory.cpp
@@ -0,0 +1,266 @@
+#include "relay/target_directory.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+
+#include "core/log.hpp"
+
+namespace cyclamen::relay {
+
+target_directory::target_directory(const relay_settings& settings,
+                                   std::shared_ptr<const chart::chart> health,
+                                   std::unique_ptr<target_chooser> chooser)
+    : settings_{settings}, health_chart_{std::move(health)}, chooser_{std::move(chooser)}
+{
+}
+
+target_directory::~target_directory() = default;
+
+void target_directory::on_targets(const targets_listed& listed, core::instant now)
+{
+    if (listed.complete) {
+        std::set<core::target_name> present;
+        for (const target_record& each : listed.present) {
+            present.insert(each.name);
+        }
+        std::erase_if(targets_, [&](const auto& each) { return !present.contains(each.first); });
+    }
+    for (const core::target_name& each : listed.gone) {
+        targets_.erase(each);
+    }
+    for (const target_record& each : listed.present) {
+        add(each, now);
+    }
+    share_places();
+}
+
+void target_directory::add(const target_record& record, core::instant now)
+{
+    known_target* known = find(record.name);
+    if (known != nullptr && record.born < known->record.get().born) {
+        return;
+    }
+    drop_earlier_lives(record);
+    const bool new_life = known == nullptr || record.born != known->record.get().born;
+    if (!new_life) {
+        known->record.set(record);
+    }
+    else {
+        // A new life under an old name knows nothing of the work before.
+        targets_.erase(record.name);
+        known = &targets_
+                     .emplace(record.name,
+                              known_target{core::cell{record},
+                                           std::make_unique<routing::target_health>(
+                                               settings_.placement.health, health_chart_,
+                                               static_cast<routing::ejection_budget&>(*this)),
+                                           own_work{}})
+                     .first->second;
+    }
+    if (record.leaving) {
+        known->health->on_leaving(now);
+    }
+    core::log_event(core::log_level::debug, "target_listed",
+                    {{"target", record.name.str()},
+                     {"service", record.service.str()},
+                     {"address", core::to_string(record.address)},
+                     {"leaving", record.leaving}});
+}
+
+void target_directory::on_members(const std::vector<member>& members)
+{
+    std::vector<std::pair<core::failure_domain_name, core::instance_name>> order;
+    for (const member& each : members) {
+        order.emplace_back(each.domain, each.name);
+    }
+    std::sort(order.begin(), order.end());
+    const auto own =
+        std::find(order.begin(), order.end(), std::pair{settings_.domain, settings_.name});
+    if (own != order.end()) {
+        own_place_ = static_cast<double>(own - order.begin()) / static_cast<double>(order.size());
+    }
+}
+
+void target_directory::share_places()
+{
+    std::map<core::service_name,
+             std::vector<std::pair<core::failure_domain_name, core::target_name>>>
+        order;
+    for (const auto& [name, each] : targets_) {
+        order[each.record.get().service].emplace_back(each.record.get().domain, name);
+    }
+    for (auto& [service, names] : order) {
+        std::sort(names.begin(), names.end());
+        for (std::size_t i = 0; i < names.size(); ++i) {
+            targets_.at(names[i].second).place =
+                static_cast<double>(i) / static_cast<double>(names.size());
+        }
+    }
+}
+
+double target_directory::distance_to(const known_target& target) const
+{
+    const double gap = std::abs(target.place - own_place_);
+    return std::min(gap, 1.0 - gap);
+}
+
+std::optional<placement> target_directory::choose(const placement_query& query, core::instant now)
+{
+    const known_target* chosen = nullptr;
+    bool from_copy = false;
+    if (query.copy_at.has_value()) {
+        known_target* holder = find(*query.copy_at);
+        if (holder != nullptr && holder->health->ready(now) == routing::readiness::ready) {
+            chosen = holder;
+            from_copy = true;
+        }
+    }
+    if (chosen == nullptr) {
+        chosen = pick(query, nullptr, now);
+    }
+    if (chosen == nullptr) {
+        return std::nullopt;
+    }
+    const target_record& target = chosen->record.get();
+    std::optional<target_record> standby;
+    if (query.wants_standby) {
+        const placement_query second{query.service, query.prompt_tokens, {target.name}, {}, {},
+                                     false};
+        const known_target* found = pick(second, &target.domain, now);
+        if (found != nullptr && found->record.get().name != target.name) {
+            standby.emplace(found->record.get());
+        }
+    }
+    return placement{target, standby, from_copy};
+}
+
+const target_directory::known_target*
+target_directory::pick(const placement_query& query, const core::failure_domain_name* other_than,
+                       core::instant now)
+{
+    // Targets that are ready, untried and in a sound domain go before those that are not.
+    std::map<std::tuple<routing::readiness, bool, bool>, std::vector<const known_target*>> classes;
+    for (const auto& [name, each] : targets_) {
+        const target_record& record = each.record.get();
+        const auto ready = each.health->ready(now);
+        const bool excluded = other_than != nullptr && record.domain == *other_than;
+        if (record.service == query.service && ready != routing::readiness::leaving && !excluded) {
+            const bool doubtful_domain =
+                query.lost_domain == record.domain || is_domain_doubtful(record, now);
+            classes[{ready, query.tried.contains(name), doubtful_domain}].push_back(&each);
+        }
+    }
+    if (classes.empty()) {
+        return nullptr;
+    }
+    const std::vector<const known_target*>& best = classes.begin()->second;
+    std::vector<candidate> candidates;
+    for (const known_target* each : best) {
+        candidates.push_back(candidate{&each->record.get(), &each->work, distance_to(*each)});
+    }
+    return best[chooser_->choose(candidates, settings_.domain)];
+}
+
+bool target_directory::takes_work(const target_record& target) const
+{
+    const auto found = targets_.find(target.name);
+    return found != targets_.end() && found->second.record.get().born == target.born &&
+           !found->second.record.get().leaving;
+}
+
+void target_directory::on_opened(const placement& placed, std::uint64_t prompt_tokens)
+{
+    if (known_target* known = find(placed.target.name); known != nullptr) {
+        ++known->work.open;
+        known->work.unread_tokens += prompt_tokens;
+    }
+    if (placed.standby.has_value()) {
+        if (known_target* known = find(placed.standby->name); known != nullptr) {
+            ++known->work.copies;
+        }
+    }
+}
+
+void target_directory::on_first_event(const core::target_name& target, std::uint64_t prompt_tokens)
+{
+    if (known_target* known = find(target); known != nullptr) {
+        known->work.unread_tokens -= std::min(known->work.unread_tokens, prompt_tokens);
+    }
+}
+
+void target_directory::on_closed(const placement& placed, std::uint64_t unread_tokens)
+{
+    if (known_target* known = find(placed.target.name); known != nullptr) {
+        known->work.open -= std::min(known->work.open, 1U);
+        known->work.unread_tokens -= std::min(known->work.unread_tokens, unread_tokens);
+    }
+    if (placed.standby.has_value()) {
+        if (known_target* known = find(placed.standby->name); known != nullptr) {
+            known->work.copies -= std::min(known->work.copies, 1U);
+        }
+    }
+}
+
+void target_directory::on_loss(const core::target_name& target, core::instant now)
+{
+    if (known_target* known = find(target); known != nullptr) {
+        known->health->on_loss(now);
+        const target_record& record = known->record.get();
+        losses_[{record.service, record.domain}].insert_or_assign(target, now);
+    }
+}
+
+bool target_directory::is_domain_doubtful(const target_record& record, core::instant now) const
+{
+    const auto found = losses_.find({record.service, record.domain});
+    if (found == losses_.end()) {
+        return false;
+    }
+    const auto recent =
+        std::count_if(found->second.begin(), found->second.end(), [&](const auto& each) {
+            return now - each.second < settings_.placement.domain_doubt;
+        });
+    return recent >= settings_.placement.losses_to_doubt_domain;
+}
+
+void target_directory::drop_earlier_lives(const target_record& record)
+{
+    std::erase_if(targets_, [&](const auto& each) {
+        const target_record& other = each.second.record.get();
+        return other.name != record.name && other.address == record.address &&
+               other.born < record.born;
+    });
+}
+
+void target_directory::on_success(const core::target_name& target, core::instant now)
+{
+    if (known_target* known = find(target); known != nullptr) {
+        known->health->on_success(now);
+    }
+}
+
+void target_directory::on_misdirected(const core::target_name& target)
+{
+    targets_.erase(target);
+    share_places();
+}
+
+bool target_directory::allows_one_more() const
+{
+    return static_cast<double>(ejected_ + 1) <=
+           settings_.placement.health.most_ejected * static_cast<double>(targets_.size());
+}
+
+void target_directory::on_ejected(bool ejected)
+{
+    ejected ? ++ejected_ : --ejected_;
+}
+
+target_directory::known_target* target_directory::find(const core::target_name& name)
+{
+    const auto found = targets_.find(name);
+    return found == targets_.end() ? nullptr : &found->second;
+}
+
+} // namespace cyclamen::relay
--- a/src/settings/instance_settings.cpp
+++ b/src/settings/instance_settings.cpp
@@ -45,18 +45,18 @@
         milliseconds_or(body, "retention_ms", standard.retention)};
 }
 
-platform::platform_settings decode_platform(const document& body,
-                                            const std::optional<core::socket_address>& table)
+table::platform_settings decode_platform(const document& body,
+                                         const std::optional<core::socket_address>& table)
 {
-    const platform::platform_settings standard;
-    return platform::platform_settings{
+    const table::platform_settings standard;
+    return table::platform_settings{
         table, milliseconds_or(body, "answer_limit_ms", standard.answer_limit)};
 }
 
-platform::table_client_settings decode_table_client(const document& body)
+table::table_client_settings decode_table_client(const document& body)
 {
-    const platform::table_client_settings standard;
-    return platform::table_client_settings{
+    const table::table_client_settings standard;
+    return table::table_client_settings{
         milliseconds_or(body, "flush_period_ms", standard.flush_period), standard.most_rows};
 }
 
--- a/src/settings/instance_settings.hpp
+++ b/src/settings/instance_settings.hpp
@@ -13,9 +13,9 @@
 #include "core/socket_address.hpp"
 #include "generation/generation_settings.hpp"
 #include "model/configuration.hpp"
-#include "platform/platform_task.hpp"
-#include "platform/table_client.hpp"
 #include "settings/peer_settings_file.hpp"
+#include "table/table_client.hpp"
+#include "table/table_task.hpp"
 
 namespace cyclamen::settings {
 
@@ -32,8 +32,8 @@
     const generation::generation_settings generation;
     /// Declarations to start with.
     const model::configuration_ptr declarations;
-    const platform::platform_settings platform;
-    const platform::table_client_settings table_client;
+    const table::platform_settings platform;
+    const table::table_client_settings table_client;
     const peers_part peers;
     /// Longest time that work under way may take after the order to stop.
     const core::duration drain_limit;
--- a/src/standin/platform_task.hpp
+++ b/src/standin/platform_task.hpp
@@ -7,10 +7,10 @@
 
 #include "core/socket_address.hpp"
 #include "http/server.hpp"
-#include "platform/memory_table.hpp"
 #include "standin/instance_list.hpp"
 #include "standin/object_store.hpp"
 #include "standin/weight_store.hpp"
+#include "table/memory_table.hpp"
 #include "task/basic_task.hpp"
 
 namespace cyclamen::standin {
@@ -80,7 +80,7 @@
 
   private:
     const platform_settings settings_;
-    platform::memory_table table_;
+    table::memory_table table_;
     object_store objects_;
     weight_store weights_;
     instance_list instances_;
--- a/src/standin/service_task.cpp
+++ b/src/standin/service_task.cpp
@@ -48,7 +48,9 @@
 
 absl::Status service_task::listen()
 {
-    auto listening = http::server::listen(loop(), settings_.listen, most_body_bytes, *this);
+    auto listening = http::server::listen(
+        loop(), settings_.listen,
+        http::server_settings{http::message_limits{.most_body_bytes = most_body_bytes}}, *this);
     if (!listening.ok()) {
         return listening.status();
     }
--- a/src/platform/memory_table.cpp
+++ b/src/table/memory_table.cpp
@@ -1,6 +1,6 @@
-#include "platform/memory_table.hpp"
+#include "table/memory_table.hpp"
 
-namespace cyclamen::platform {
+namespace cyclamen::table {
 
 api::row memory_table::current(const api::row_key& key) const
 {
@@ -65,4 +65,4 @@
     return scan(std::get<api::table_scan>(command));
 }
 
-} // namespace cyclamen::platform
+} // namespace cyclamen::table
--- a/src/platform/memory_table.hpp
+++ b/src/table/memory_table.hpp
@@ -5,7 +5,7 @@
 
 #include "api/table_messages.hpp"
 
-namespace cyclamen::platform {
+namespace cyclamen::table {
 
 /// A transactional table in memory: what the stand-in serves and what tests ask instead of the
 /// platform's. Opens no socket and reads no clock. Used by one owner.
@@ -39,4 +39,4 @@
     [[nodiscard]] api::row current(const api::row_key& key) const;
 };
 
-} // namespace cyclamen::platform
+} // namespace cyclamen::table
--- a/src/platform/table_client.cpp
+++ b/src/table/table_client.cpp
@@ -1,11 +1,11 @@
-#include "platform/table_client.hpp"
+#include "table/table_client.hpp"
 
 #include <algorithm>
 #include <cassert>
 #include <iterator>
 #include <set>
 
-namespace cyclamen::platform {
+namespace cyclamen::table {
 
 namespace {
 
@@ -187,4 +187,4 @@
     }
 }
 
-} // namespace cyclamen::platform
+} // namespace cyclamen::table
--- a/src/platform/table_client.hpp
+++ b/src/table/table_client.hpp
@@ -9,7 +9,7 @@
 #include "api/table_messages.hpp"
 #include "core/time.hpp"
 
-namespace cyclamen::platform {
+namespace cyclamen::table {
 
 /// Hears the answers to its own requests. Called by the table client on the decision task, never
 /// from within commit(), read() or scan().
@@ -108,4 +108,4 @@
                            core::instant now);
 };
 
-} // namespace cyclamen::platform
+} // namespace cyclamen::table
--- a/src/platform/platform_task.cpp
+++ b/src/table/table_task.cpp
@@ -1,33 +1,32 @@
-#include "platform/platform_task.hpp"
+#include "table/table_task.hpp"
 
 #include "http/table_codec.hpp"
 
-namespace cyclamen::platform {
+namespace cyclamen::table {
 
-platform_task::platform_task(platform_settings settings,
-                             task::outbox_ptr<api::table_event> decisions)
+table_task::table_task(platform_settings settings, task::outbox_ptr<api::table_event> decisions)
     : basic_task{"platform"}, settings_{std::move(settings)}, decisions_{std::move(decisions),
                                                                          loop()}
 {
 }
 
-platform_task::~platform_task()
+table_task::~table_task()
 {
     stop();
 }
 
-absl::Status platform_task::on_start()
+absl::Status table_task::on_start()
 {
     client_ = std::make_unique<http::client>(loop(), static_cast<http::client_listener&>(*this));
     return absl::OkStatus();
 }
 
-void platform_task::on_stop()
+void table_task::on_stop()
 {
     client_.reset();
 }
 
-void platform_task::on_message(const api::table_command& command)
+void table_task::on_message(const api::table_command& command)
 {
     if (!settings_.table.has_value()) {
         fail(command, false, "this instance has no address of a table service");
@@ -42,17 +41,17 @@
     client_->start(exchange, *settings_.table, http::encode_table_command(command));
 }
 
-void platform_task::on_head(http::exchange_id exchange, const http::response_head& head)
+void table_task::on_head(http::exchange_id exchange, const http::response_head& head)
 {
     exchanges_.at(exchange)->status = head.status;
 }
 
-void platform_task::on_body(http::exchange_id exchange, std::string_view bytes)
+void table_task::on_body(http::exchange_id exchange, std::string_view bytes)
 {
     exchanges_.at(exchange)->body += bytes;
 }
 
-void platform_task::on_end(http::exchange_id exchange, bool sent, const absl::Status& status)
+void table_task::on_end(http::exchange_id exchange, bool sent, const absl::Status& status)
 {
     const auto ended = exchanges_.extract(exchange);
     const exchange_state& state = *ended.mapped();
@@ -64,7 +63,7 @@
     fail(state.command, sent, std::string{status.message()});
 }
 
-void platform_task::give_up(http::exchange_id exchange)
+void table_task::give_up(http::exchange_id exchange)
 {
     const auto ended = exchanges_.extract(exchange);
     client_->cancel(exchange);
@@ -72,11 +71,11 @@
     fail(ended.mapped()->command, true, "the table service gave no answer in time");
 }
 
-void platform_task::fail(const api::table_command& command, bool may_be_applied, std::string detail)
+void table_task::fail(const api::table_command& command, bool may_be_applied, std::string detail)
 {
     const bool writes = std::holds_alternative<api::table_commit>(command);
     decisions_.send(api::table_failed{http::table_request_of(command), writes && may_be_applied,
                                       std::move(detail)});
 }
 
-} // namespace cyclamen::platform
+} // namespace cyclamen::table
--- a/src/platform/platform_task.hpp
+++ b/src/table/table_task.hpp
@@ -11,7 +11,7 @@
 #include "task/basic_task.hpp"
 #include "task/ordered_sender.hpp"
 
-namespace cyclamen::platform {
+namespace cyclamen::table {
 
 /// How the platform is reached.
 struct platform_settings {
@@ -25,13 +25,13 @@
 
 /// Owns the connections to the platform's table service. It decides nothing: a request without an
 /// answer in time ends as table_failed, and an answer after that is dropped.
-class platform_task final : public task::basic_task<api::table_command>,
-                            private http::client_listener {
+class table_task final : public task::basic_task<api::table_command>,
+                         private http::client_listener {
   public:
     /// @param settings how the platform is reached
     /// @param decisions inbox of the decision task
-    platform_task(platform_settings settings, task::outbox_ptr<api::table_event> decisions);
-    ~platform_task() override;
+    table_task(platform_settings settings, task::outbox_ptr<api::table_event> decisions);
+    ~table_task() override;
 
   private:
     /// One request under way.
@@ -60,4 +60,4 @@
     void fail(const api::table_command& command, bool may_be_applied, std::string detail);
 };
 
-} // namespace cyclamen::platform
+} // namespace cyclamen::table
--- a/src/task/basic_task.hpp
+++ b/src/task/basic_task.hpp
@@ -1,61 +1,68 @@
 #pragma once
 
 #include <cassert>
-#include <future>
 #include <memory>
 #include <string>
-#include <thread>
 
 #include <absl/status/status.h>
 
 #include "task/event_loop.hpp"
+#include "task/hosted_task.hpp"
 #include "task/mailbox.hpp"
 #include "task/outbox.hpp"
-#include "task/processor_time.hpp"
+#include "task/task_host.hpp"
 
 namespace cyclamen::task {
 
 /// How many messages may wait for a task unless it says otherwise.
 constexpr std::size_t default_mailbox_capacity = 1 << 18;
 
-/// A thread with an event loop that owns its sockets and its state. Other tasks reach it only by
-/// messages. The owner calls start() and stop(); everything else runs on the thread of the task.
+/// Owns its sockets and its state; other tasks reach it only by messages. It runs on a thread of
+/// its own, by start() and stop(), or with others on the thread of a task_host.
 /// @tparam Message immutable value type of the messages that it receives
 template <class Message>
-class basic_task {
+class basic_task : public hosted_task {
   public:
+    /// A task with a thread of its own.
     /// @param task_name name for logs and error messages
     /// @param capacity how many messages may wait
     explicit basic_task(std::string task_name, std::size_t capacity = default_mailbox_capacity)
-        : name_{std::move(task_name)}, mailbox_{std::make_shared<mailbox<Message>>(name_, capacity)}
+        : name_{std::move(task_name)}, own_host_{std::make_unique<task_host>()},
+          loop_{own_host_->loop()}, mailbox_{std::make_shared<mailbox<Message>>(name_, capacity)}
     {
+        own_host_->add(*this);
     }
 
-    virtual ~basic_task() { assert(!thread_.joinable() && "stop() a task before it is destroyed"); }
+    /// A task for a host, which the owner adds it to.
+    /// @param task_name name for logs and error messages
+    /// @param host the host; outlives the task
+    /// @param capacity how many messages may wait
+    basic_task(std::string task_name, task_host& host,
+               std::size_t capacity = default_mailbox_capacity)
+        : name_{std::move(task_name)}, loop_{host.loop()}, mailbox_{
+                                                               std::make_shared<mailbox<Message>>(
+                                                                   name_, capacity)}
+    {
+    }
+
+    ~basic_task() override
+    {
+        assert((own_host_ == nullptr || !own_host_->is_running()) &&
+               "stop() a task before it is destroyed");
+    }
     basic_task(const basic_task&) = delete;
     basic_task& operator=(const basic_task&) = delete;
 
-    /// Starts the thread and waits until on_start() has run.
+    /// Starts the thread of the task and waits until on_start() has run.
     /// @return what on_start() returned; where it failed, the thread has ended
-    absl::Status start()
-    {
-        std::promise<absl::Status> started;
-        auto result = started.get_future();
-        thread_ = std::thread{
-            [this, promise = std::move(started)]() mutable { run(std::move(promise)); }};
-        absl::Status status = result.get();
-        if (!status.ok()) {
-            thread_.join();
-        }
-        return status;
-    }
+    absl::Status start() { return own_host_->start(); }
 
-    /// Asks the task to stop, and waits until its thread has ended. No effect where it has.
+    /// Asks the task to stop, and waits until its thread has ended. No effect where it has, or
+    /// where the task runs on the thread of a host.
     void stop()
     {
-        if (thread_.joinable()) {
-            mailbox_->post_stop();
-            thread_.join();
+        if (own_host_ != nullptr) {
+            own_host_->stop();
         }
     }
 
@@ -64,8 +71,33 @@
 
     [[nodiscard]] const std::string& name() const { return name_; }
 
-    /// @return processor time that the thread has used; called after stop()
-    [[nodiscard]] core::duration processor_time() const { return processor_time_; }
+    /// @return processor time that the task's own thread has used; called after stop()
+    [[nodiscard]] core::duration processor_time() const { return own_host_->processor_time(); }
+
+    absl::Status open() final
+    {
+        mailbox_->open(loop_);
+        return on_start();
+    }
+
+    bool handle_messages() final
+    {
+        const auto messages = mailbox_->take();
+        for (const Message& message : messages) {
+            on_message(message);
+        }
+        return !messages.empty();
+    }
+
+    void request_stop() final { mailbox_->post_stop(); }
+
+    [[nodiscard]] bool is_stopping() final { return mailbox_->is_stopping(); }
+
+    void close() final
+    {
+        on_stop();
+        mailbox_->close();
+    }
 
   protected:
     /// Opens sockets and starts timers.
@@ -81,38 +113,11 @@
     [[nodiscard]] core::instant now() const { return loop_.now(); }
 
   private:
-    static constexpr core::duration longest_wait = std::chrono::seconds{10};
-
     const std::string name_;
-    event_loop loop_;
+    /// Only where the task has a thread of its own.
+    const std::unique_ptr<task_host> own_host_;
+    event_loop& loop_;
     std::shared_ptr<mailbox<Message>> mailbox_;
-    std::thread thread_;
-    core::duration processor_time_{};
-
-    void run(std::promise<absl::Status> started)
-    {
-        loop_.open();
-        mailbox_->open(loop_);
-        const absl::Status status = on_start();
-        started.set_value(status);
-        while (status.ok() && !mailbox_->is_stopping()) {
-            const auto messages = mailbox_->take();
-            for (const Message& message : messages) {
-                on_message(message);
-            }
-            if (!messages.empty()) {
-                // This may take in the wake-up for a message that has come meanwhile: look again
-                // before the next wait.
-                loop_.complete_writes();
-                continue;
-            }
-            loop_.run_once(mailbox_->is_stopping() ? core::duration::zero() : longest_wait);
-        }
-        on_stop();
-        mailbox_->close();
-        loop_.close();
-        processor_time_ = thread_processor_time();
-    }
 };
 
 } // namespace cyclamen::task
--- a/src/task/event_loop.cpp
+++ b/src/task/event_loop.cpp
@@ -34,6 +34,7 @@
 void event_loop::open()
 {
     ignore_broken_pipes();
+    thread_ = std::this_thread::get_id();
     native_ = std::make_unique<native_loop>();
     native_->loop = h2o_evloop_create();
     native_->queue = h2o_multithread_create_queue(native_->loop);
@@ -90,7 +91,9 @@
 
 void event_loop::wake()
 {
-    h2o_multithread_send_message(&native_->receiver, nullptr);
+    if (std::this_thread::get_id() != thread_) {
+        h2o_multithread_send_message(&native_->receiver, nullptr);
+    }
 }
 
 void event_loop::complete_writes()
--- a/src/task/event_loop.hpp
+++ b/src/task/event_loop.hpp
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <thread>
 
 #include "core/clock.hpp"
 #include "core/identifier.hpp"
@@ -56,7 +57,8 @@
     /// Forgets a timer; no effect where it has fired.
     void cancel(timer_id timer);
 
-    /// Interrupts the wait of the loop. Any thread may call it, between open() and close().
+    /// Interrupts the wait of the loop. Any thread may call it, between open() and close(). On the
+    /// loop's own thread there is no wait to interrupt, and the call does nothing.
     void wake();
 
     /// Serves sockets that were written to outside of run_once(). h2o puts their completions into a
@@ -70,6 +72,7 @@
   private:
     struct native_loop;
     std::unique_ptr<native_loop> native_;
+    std::thread::id thread_;
     core::system_clock clock_;
     std::map<std::pair<core::instant, timer_id>, std::function<void()>> timers_;
     std::map<timer_id, core::instant> due_;
--- a/src/task/signals.cpp
+++ b/src/task/signals.cpp
@@ -1,5 +1,7 @@
 #include "task/signals.hpp"
 
+#include <unistd.h>
+
 #include <csignal>
 #include <ctime>
 
@@ -16,11 +18,19 @@
     return set;
 }
 
+sigset_t process_signals()
+{
+    sigset_t set = stop_signals();
+    sigaddset(&set, SIGHUP);
+    sigaddset(&set, SIGUSR1);
+    return set;
+}
+
 } // namespace
 
 void block_stop_signals()
 {
-    const sigset_t set = stop_signals();
+    const sigset_t set = process_signals();
     pthread_sigmask(SIG_BLOCK, &set, nullptr);
 }
 
@@ -37,4 +47,28 @@
     return sigtimedwait(&set, nullptr, &limit) > 0;
 }
 
+process_signal wait_for_signal()
+{
+    const sigset_t set = process_signals();
+    while (true) {
+        switch (sigwaitinfo(&set, nullptr)) {
+        case SIGTERM:
+        case SIGINT:
+            return process_signal::stop;
+        case SIGHUP:
+            return process_signal::reload;
+        case SIGUSR1:
+            return process_signal::wake;
+        default:
+            // Interrupted by a signal that is not waited for.
+            break;
+        }
+    }
+}
+
+void wake_signal_waiter()
+{
+    ::kill(::getpid(), SIGUSR1);
+}
+
 } // namespace cyclamen::task
--- /dev/null
+++ b/src/task/task_host.cpp
@@ -0,0 +1,82 @@
+#include "task/task_host.hpp"
+
+#include <algorithm>
+#include <cassert>
+
+#include "task/processor_time.hpp"
+
+namespace cyclamen::task {
+
+namespace {
+
+/// Longest wait for sockets; messages and timers interrupt it.
+constexpr core::duration longest_wait = std::chrono::seconds{10};
+
+} // namespace
+
+task_host::~task_host()
+{
+    assert(!thread_.joinable() && "stop() a host before it is destroyed");
+}
+
+absl::Status task_host::start()
+{
+    std::promise<absl::Status> started;
+    auto result = started.get_future();
+    thread_ =
+        std::thread{[this, promise = std::move(started)]() mutable { run(std::move(promise)); }};
+    absl::Status status = result.get();
+    if (!status.ok()) {
+        thread_.join();
+    }
+    return status;
+}
+
+void task_host::stop()
+{
+    if (thread_.joinable()) {
+        for (hosted_task* task : tasks_) {
+            task->request_stop();
+        }
+        thread_.join();
+    }
+}
+
+void task_host::run(std::promise<absl::Status> started)
+{
+    loop_.open();
+    absl::Status status = absl::OkStatus();
+    std::size_t opened = 0;
+    while (status.ok() && opened < tasks_.size()) {
+        status = tasks_[opened]->open();
+        ++opened;
+    }
+    started.set_value(status);
+    while (status.ok() && !is_stopping()) {
+        bool handled = false;
+        for (hosted_task* task : tasks_) {
+            handled = task->handle_messages() || handled;
+        }
+        if (handled) {
+            // This may take in the wake-up for a message that has come meanwhile: look again
+            // before the next wait.
+            loop_.complete_writes();
+            continue;
+        }
+        loop_.run_once(is_stopping() ? core::duration::zero() : longest_wait);
+    }
+    while (opened > 0) {
+        --opened;
+        tasks_[opened]->close();
+    }
+    loop_.close();
+    processor_time_ = thread_processor_time();
+}
+
+bool task_host::is_stopping() const
+{
+    return std::all_of(tasks_.begin(), tasks_.end(),
+                       [](hosted_task* task) { return task->is_stopping(); });
+}
+
+} // namespace cyclamen::task
--- a/tests/call/world.hpp
+++ b/tests/call/world.hpp
@@ -12,8 +12,8 @@
 #include "chart/library.hpp"
 #include "core/clock.hpp"
 #include "model/client_account.hpp"
-#include "platform/memory_table.hpp"
 #include "routing/fewest_open_chooser.hpp"
+#include "table/memory_table.hpp"
 
 namespace cyclamen::test {
 
@@ -59,7 +59,7 @@
     std::function<service_fate()> next_service_fate = [] { return service_fate::answers; };
 
     core::manual_clock clock;
-    platform::memory_table table;
+    table::memory_table table;
     /// Runs at the service by request key, and by send.
     std::map<std::string, int> runs;
     std::map<std::string, int> runs_of_send;
@@ -174,7 +174,7 @@
         world& surroundings;
         std::weak_ptr<node> self;
         routing::fewest_open_chooser chooser;
-        platform::table_client client;
+        table::table_client client;
         call::table_claim_store store;
         std::unique_ptr<call::call_handler> handler;
         core::instant paused_until{};
--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -40,13 +40,12 @@
 
 BOOST_AUTO_TEST_CASE(a_request_that_arrives_while_the_server_closes_reaches_no_handler)
 {
-    constexpr std::size_t most_body_bytes = 1000;
     constexpr std::string_view request = "GET / HTTP/1.1\r\nhost: x\r\n\r\n";
     task::event_loop loop;
     loop.open();
     counting_handler handler;
     const core::socket_address address = test::free_address();
-    auto listening = http::server::listen(loop, address, most_body_bytes, handler);
+    auto listening = http::server::listen(loop, address, http::server_settings{}, handler);
     BOOST_REQUIRE(listening.ok());
     const int fd = connect_to(address);
     for (int round = 0; round < 5; ++round) {
--- a/tests/support/table_service.hpp
+++ b/tests/support/table_service.hpp
@@ -4,8 +4,8 @@
 
 #include "http/server.hpp"
 #include "http/table_codec.hpp"
-#include "platform/memory_table.hpp"
 #include "support/ports.hpp"
+#include "table/memory_table.hpp"
 #include "task/basic_task.hpp"
 
 namespace cyclamen::test {
@@ -26,14 +26,14 @@
     const core::socket_address address;
 
   private:
-    platform::memory_table table_;
+    table::memory_table table_;
     std::unique_ptr<http::server> server_;
     bool is_out_ = false;
 
     absl::Status on_start() override
     {
         http::server_handler& self = *this;
-        auto listening = http::server::listen(loop(), address, 4'000'000, self);
+        auto listening = http::server::listen(loop(), address, http::server_settings{}, self);
         if (!listening.ok()) {
             return listening.status();
         }
--- a/tests/platform/main.cpp
+++ b/tests/table/main.cpp
@@ -1,2 +1,2 @@
-#define BOOST_TEST_MODULE platform
+#define BOOST_TEST_MODULE table
 #include <boost/test/unit_test.hpp>
--- a/tests/platform/memory_table_test.cpp
+++ b/tests/table/memory_table_test.cpp
@@ -1,4 +1,4 @@
-#include "platform/memory_table.hpp"
+#include "table/memory_table.hpp"
 
 #include <boost/test/unit_test.hpp>
 
@@ -23,7 +23,7 @@
 
 BOOST_AUTO_TEST_CASE(one_failed_condition_keeps_all_rows_as_they_were)
 {
-    platform::memory_table table;
+    table::memory_table table;
     BOOST_TEST((table.apply(api::table_commit{number, {write("a", "1", 0), write("b", "1", 0)}}) ==
                 api::table_event{api::table_committed{number}}));
     const auto refused =
@@ -37,7 +37,7 @@
 
 BOOST_AUTO_TEST_CASE(a_scan_gives_the_rows_of_the_prefix_in_order)
 {
-    platform::memory_table table;
+    table::memory_table table;
     std::ignore = table.apply(
         api::table_commit{number, {write("b/2", "x"), write("b/1", "y"), write("c", "z")}});
     const auto rows = table.apply(api::table_scan{number, "t", "b/"});
--- a/tests/platform/table_client_test.cpp
+++ b/tests/table/table_client_test.cpp
@@ -1,15 +1,15 @@
-#include "platform/table_client.hpp"
+#include "table/table_client.hpp"
 
 #include <boost/test/unit_test.hpp>
 
 #include "core/clock.hpp"
-#include "platform/memory_table.hpp"
+#include "table/memory_table.hpp"
 
 using namespace cyclamen;
 
 namespace {
 
-struct recorded_answers final : platform::table_listener {
+struct recorded_answers final : table::table_listener {
     std::vector<api::table_event> answers;
     void on_table_answer(const api::table_event& answer, core::instant /*now*/) override
     {
@@ -19,9 +19,9 @@
 
 struct fixture {
     core::manual_clock clock;
-    platform::memory_table table;
+    table::memory_table table;
     std::vector<api::table_command> sent;
-    platform::table_client client{
+    table::table_client client{
         {}, [this](api::table_command command) { sent.push_back(std::move(command)); }};
     recorded_answers first;
     recorded_answers second;
--- a/tests/platform/platform_task_test.cpp
+++ b/tests/table/table_task_test.cpp
@@ -1,4 +1,4 @@
-#include "platform/platform_task.hpp"
+#include "table/table_task.hpp"
 
 #include <boost/test/unit_test.hpp>
 
@@ -11,11 +11,11 @@
 
 using answers = task::channel<api::table_event>;
 
-api::table_failed fail_of(const platform::platform_settings& settings,
+api::table_failed fail_of(const table::platform_settings& settings,
                           const api::table_command& command)
 {
     const auto heard = std::make_shared<answers>();
-    platform::platform_task task{settings, heard};
+    table::table_task task{settings, heard};
     BOOST_REQUIRE(task.start().ok());
     BOOST_REQUIRE(task.inbox()->post(command).ok());
     const auto event = heard->take(std::chrono::seconds{5});
