Ask engines for their load before a stream is placed, and outlast a leaving instance

Change: the chart surveys three engines, in two failure domains at least, before it places a stream; engines that don't answer are avoided. Requests with the same last prompt part prefer the same engines, so that a caller who comes back to another instance finds its prompt read. A leaving instance refuses streams (not run) and closes connections after every answer. Rejections by full targets are bounded apart from those of targets that are gone.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -362,7 +362,7 @@
         exchanges_.erase(*of.exchange);
         of.exchange.reset();
         of.since = loop_.now();
-        if (!of.keeps_connection) {
+        if (!of.keeps_connection || closes_after_answers_) {
             end_when_sent(of);
             return;
         }
--- a/src/relay/entry_life.hpp
+++ b/src/relay/entry_life.hpp
@@ -84,6 +84,9 @@
     /// @return when on_time() should be called next
     [[nodiscard]] std::optional<core::instant> next_due() const { return timers_.next_due(); }
 
+    /// @return true from the order to stop on
+    [[nodiscard]] bool is_leaving() const { return machine_.is_in("leaving"); }
+
     /// @return true where callers are sent here
     [[nodiscard]] bool is_serving() const { return machine_.state_name() == "serving"; }
 
--- a/src/relay/least_work_chooser.cpp
+++ b/src/relay/least_work_chooser.cpp
@@ -7,11 +7,21 @@
 std::size_t least_work_chooser::choose(const std::vector<candidate>& candidates,
                                        const core::failure_domain_name& home)
 {
+    const auto targets = static_cast<double>(candidates.size());
     const auto cost = [&](const candidate& each) {
         const double away = each.record->domain == home ? 0.0 : settings_.domain_cost;
-        return static_cast<double>(each.work->unread_tokens) +
+        double reported = 0.0;
+        if (each.load != nullptr) {
+            // The report holds what others have there; what is newer than it, only the own count.
+            const std::uint32_t others =
+                each.load->running - std::min(each.load->running, each.work->open);
+            reported = settings_.waiting_cost * each.load->waiting +
+                       settings_.running_cost * others +
+                       settings_.memory_cost * static_cast<double>(each.load->memory_used);
+        }
+        return reported + static_cast<double>(each.work->unread_tokens) +
                settings_.running_cost * (each.work->open + each.work->copies) +
-               settings_.distance_cost * each.distance + away;
+               settings_.step_cost * targets * each.distance + away;
     };
     const auto best = std::min_element(
         candidates.begin(), candidates.end(),
--- a/src/relay/messages.hpp
+++ b/src/relay/messages.hpp
@@ -13,6 +13,7 @@
 #include "core/socket_address.hpp"
 #include "core/time.hpp"
 #include "relay/member.hpp"
+#include "relay/reported_load.hpp"
 #include "relay/route_table.hpp"
 #include "relay/target.hpp"
 
@@ -69,6 +70,9 @@
     const std::string key;
     const std::uint64_t prompt_tokens;
     const std::uint64_t most_output_tokens;
+    /// Names what of the prompt belongs to this request or its session alone; equal for a request
+    /// that comes again. Empty where the caller names no parts.
+    const std::string prompt_key;
     /// Id of the last event that the caller has of this stream, where it resumes one.
     const std::optional<std::string> last_event;
 
@@ -189,9 +193,10 @@
     auto operator<=>(const close_attempt&) const = default;
 };
 
-/// Asks a target whether it lives.
+/// Asks a target how it fares.
 struct ask_target {
-    const attempt_id attempt;
+    const request_number request;
+    const core::target_name target;
     const core::socket_address address;
 
     auto operator<=>(const ask_target&) const = default;
@@ -253,11 +258,14 @@
     auto operator<=>(const attempt_lost&) const = default;
 };
 
-/// A target has answered ask_target.
-struct target_alive {
-    const attempt_id attempt;
+/// What came of ask_target.
+struct target_answered {
+    const request_number request;
+    const core::target_name target;
+    /// Empty where the target could not be asked.
+    const std::optional<reported_load> load;
 
-    auto operator<=>(const target_alive&) const = default;
+    auto operator<=>(const target_answered&) const = default;
 };
 
 // ---- from and to the platform's store ----
@@ -301,8 +309,8 @@
 /// What the decision task receives.
 using relay_message =
     std::variant<submission, caller_gone, stream_begun, stream_events, stream_finished,
-                 attempt_answered, attempt_rejected, attempt_lost, target_alive, configuration_read,
-                 targets_listed, members_listed, stop_requested>;
+                 attempt_answered, attempt_rejected, attempt_lost, target_answered,
+                 configuration_read, targets_listed, members_listed, stop_requested>;
 
 /// What the task of the callers' side receives.
 using entry_command =
--- a/src/relay/placement.hpp
+++ b/src/relay/placement.hpp
@@ -1,10 +1,12 @@
 #pragma once
 
 #include <compare>
+#include <map>
 #include <optional>
 #include <set>
 
 #include "core/identifier.hpp"
+#include "relay/reported_load.hpp"
 #include "relay/target.hpp"
 
 namespace cyclamen::relay {
@@ -14,6 +16,9 @@
     const core::service_name service;
     /// Tokens that an engine must read before the first event; 0 for plain services.
     const std::uint64_t prompt_tokens;
+    /// Requests with the same key prefer the same engines, which may still hold their prompt; empty
+    /// where that gains nothing.
+    const std::string prompt_key;
     /// Targets that have been tried; they come last.
     const std::set<core::target_name> tried;
     /// Failure domain of the target that was tried last; others go first.
@@ -22,6 +27,8 @@
     const std::optional<core::target_name> copy_at;
     /// True where a second target in another failure domain should get a copy.
     const bool wants_standby;
+    /// Loads of the candidates that have answered; where there are some, only these are chosen.
+    const std::map<core::target_name, reported_load> loads;
 
     bool operator==(const placement_query&) const = default;
 };
--- a/src/relay/relay_manager.cpp
+++ b/src/relay/relay_manager.cpp
@@ -59,6 +59,11 @@
         refuse(heard, core::error_kind::not_found, "no route", true);
         return;
     }
+    if (life_.is_leaving() && way->kind == request_kind::streaming) {
+        // It would outlast the process; the caller's next choice takes it whole.
+        refuse(heard, core::error_kind::overloaded, "the instance is leaving", true);
+        return;
+    }
     core::account_name account;
     if (table_->needs_keys() && !way->is_public) {
         const core::account_name* found = table_->find_account(heard.key);
@@ -131,6 +136,15 @@
     life_.raise(entry_life_event::stop_ordered, now_);
 }
 
+void relay_manager::on(const target_answered& heard)
+{
+    const auto found = requests_.find(heard.request);
+    if (found != requests_.end()) {
+        found->second->on(heard, now_);
+        settle(heard.request);
+    }
+}
+
 template <class Heard>
 void relay_manager::on(const Heard& heard)
 {
@@ -208,6 +222,11 @@
     return targets_.choose(query, now_);
 }
 
+std::vector<target_record> relay_manager::survey(const placement_query& query)
+{
+    return targets_.survey(query, now_);
+}
+
 bool relay_manager::may_repeat(const core::service_name& service)
 {
     return budget_.allows(service, now_);
--- a/src/relay/relay_manager.hpp
+++ b/src/relay/relay_manager.hpp
@@ -76,6 +76,7 @@
     void on(const targets_listed& heard);
     void on(const members_listed& heard);
     void on(const stop_requested& heard);
+    void on(const target_answered& heard);
     /// What a target said about an attempt goes to its request, where that still waits for it.
     template <class Heard>
     void on(const Heard& heard);
@@ -89,6 +90,7 @@
     void settle(request_number number);
 
     std::optional<placement> place(const placement_query& query) override;
+    std::vector<target_record> survey(const placement_query& query) override;
     bool may_repeat(const core::service_name& service) override;
     void count_repeat(const core::service_name& service) override;
     void send(entry_command command) override;
--- a/src/relay/relay_settings.hpp
+++ b/src/relay/relay_settings.hpp
@@ -22,12 +22,18 @@
     const double first_answer_part = 0.35;
     /// Part of the answer goal after which a silent safe request goes to another target.
     const double safe_repeat_part = 0.8;
+    /// How long the candidates for a request have to answer: two crossings between failure domains
+    /// and the wait for a processor.
+    const core::duration survey_limit = std::chrono::milliseconds{25};
     /// How long a request without a target waits before it looks again.
     const core::duration placement_pause = std::chrono::milliseconds{50};
     /// Part of the answer goal that a request may wait for its first target.
     const double placement_part = 0.3;
-    /// Offers of one request that targets may reject or not receive, beside those that run.
-    const std::uint32_t most_offers = 4;
+    /// Times that targets may reject one request because they are full: then the service is.
+    const std::uint32_t most_rejections = 4;
+    /// Offers of one request, with those that targets reject or don't receive: a failure domain
+    /// whose engines have all started again under new names rejects one after the other.
+    const std::uint32_t most_offers = 10;
     /// What a refused caller is told to wait.
     const core::duration retry_after = std::chrono::milliseconds{300};
 
@@ -52,10 +58,16 @@
 struct placement_settings {
     /// Cost of a stream that runs on a target already, in prompt tokens that wait there.
     const double running_cost = 1500;
-    /// Cost of half the way round the ring of targets: instances start at different targets.
-    const double distance_cost = 9000;
-    /// Cost of a target in another failure domain.
-    const double domain_cost = 1000;
+    /// Cost of a request that waits in an engine's queue: about a prompt.
+    const double waiting_cost = 5000;
+    /// Cost of a token in an engine's memory: a full engine preempts.
+    const double memory_cost = 0.1;
+    /// Engines that are asked for their load before a request is placed.
+    const std::size_t survey_size = 3;
+    /// Cost of each target between the preferred one and another.
+    const double step_cost = 2500;
+    /// Cost of a target in another failure domain: less than a step, it only breaks ties.
+    const double domain_cost = 500;
     /// Targets of one service and failure domain whose loss makes the whole domain doubtful.
     const std::int64_t losses_to_doubt_domain = 2;
     /// How long these losses count; engines that crash together are back after about a second.
--- a/src/relay/relayed_request.cpp
+++ b/src/relay/relayed_request.cpp
@@ -76,6 +76,9 @@
     if (heard.misdirected) {
         host_.on_misdirected(placed_->get().target.name);
     }
+    else if (!placed_->get().from_copy) {
+        ++rejections_;
+    }
     --runs_;
     raise(request_event::attempt_rejected, now);
 }
@@ -93,9 +96,26 @@
     raise(request_event::attempt_lost, now);
 }
 
-void relayed_request::on(const target_alive& /*heard*/, core::instant now)
+void relayed_request::on(const target_answered& heard, core::instant now)
 {
-    raise(request_event::target_alive, now);
+    if (placed_.has_value()) {
+        if (placed_->get().target.name == heard.target) {
+            raise(heard.load.has_value() ? request_event::target_alive : request_event::target_mute,
+                  now);
+        }
+        return;
+    }
+    if (asked_.erase(heard.target) == 0) {
+        return;
+    }
+    if (heard.load.has_value()) {
+        loads_.emplace(heard.target, *heard.load);
+    }
+    else {
+        tried_.insert(heard.target);
+        host_.on_loss(heard.target);
+    }
+    raise(request_event::load_heard, now);
 }
 
 void relayed_request::on_time(core::instant now)
@@ -139,6 +159,8 @@
         return answer_due() - now_;
     case request_timeout::placement_pause:
         return settings_.placement_pause;
+    case request_timeout::survey_limit:
+        return settings_.survey_limit;
     case request_timeout::first_answer_limit:
         if (plan_.way.kind == request_kind::unsafe) {
             return no_limit;
@@ -164,7 +186,8 @@
     case request_guard::may_wait:
         return now_ - plan_.accepted < part_of(plan_.way.answer_goal, settings_.placement_part);
     case request_guard::may_offer_again:
-        return offers_ < settings_.most_offers && host_.may_repeat(plan_.service);
+        return offers_ < settings_.most_offers && rejections_ < settings_.most_rejections &&
+               host_.may_repeat(plan_.service);
     case request_guard::may_go_on:
         if (!attempt_sent_) {
             return offers_ < settings_.most_offers;
@@ -176,9 +199,13 @@
     case request_guard::may_ask:
         return plan_.engine.has_value();
     case request_guard::events_seen:
+        return attempt_has_events_;
+    case request_guard::candidates_left:
+        return !asked_.empty();
+    case request_guard::candidate_lives:
         break;
     }
-    return attempt_has_events_;
+    return !loads_.empty();
 }
 
 void relayed_request::perform(chart::symbol action)
@@ -187,6 +214,20 @@
     case request_action::seek_target:
         seek_target();
         break;
+    case request_action::ask_candidates:
+        ask_candidates();
+        break;
+    case request_action::choose_candidate:
+        choose_candidate();
+        break;
+    case request_action::note_survey:
+        for (const auto& [name, each] : asked_) {
+            tried_.insert(name);
+            host_.on_loss(name);
+        }
+        core::log_event(core::log_level::info, "survey_failed",
+                        {{"request", plan_.submitted.content->id}, {"unanswered", asked_.size()}});
+        break;
     case request_action::open_attempt:
         open();
         break;
@@ -199,8 +240,8 @@
         }
         break;
     case request_action::ask_target:
-        host_.send(
-            relay::ask_target{attempt_id{plan_.number, attempt_}, placed_->get().target.address});
+        host_.send(relay::ask_target{plan_.number, placed_->get().target.name,
+                                     placed_->get().target.address});
         break;
     case request_action::deliver_events:
         deliver_events();
@@ -282,12 +323,34 @@
     }
 }
 
-void relayed_request::seek_target()
+placement_query relayed_request::make_query() const
 {
     const bool wants_standby = plan_.engine.has_value() && plan_.engine->copies_memory &&
                                plan_.way.kind == request_kind::streaming;
-    const auto found = host_.place(placement_query{plan_.service, plan_.submitted.prompt_tokens,
-                                                   tried_, lost_domain_, copy_at_, wants_standby});
+    return placement_query{plan_.service,
+                           plan_.submitted.prompt_tokens,
+                           plan_.engine.has_value() ? plan_.submitted.prompt_key : std::string{},
+                           tried_,
+                           lost_domain_,
+                           copy_at_,
+                           wants_standby,
+                           loads_};
+}
+
+void relayed_request::seek_target()
+{
+    loads_.clear();
+    asked_.clear();
+    // A copy is where it is, and plain services report no load.
+    if (plan_.engine.has_value() && !copy_at_.has_value()) {
+        for (const target_record& each : host_.survey(make_query())) {
+            asked_.emplace(each.name, each);
+        }
+        follow_up_ =
+            asked_.empty() ? request_event::target_missing : request_event::candidates_found;
+        return;
+    }
+    const auto found = host_.place(make_query());
     if (!found.has_value()) {
         follow_up_ = request_event::target_missing;
         return;
@@ -296,6 +359,24 @@
     follow_up_ = request_event::target_found;
 }
 
+void relayed_request::ask_candidates()
+{
+    for (const auto& [name, each] : asked_) {
+        host_.send(relay::ask_target{plan_.number, name, each.address});
+    }
+}
+
+void relayed_request::choose_candidate()
+{
+    for (const auto& [name, each] : asked_) {
+        core::log_event(core::log_level::info, "survey_unanswered",
+                        {{"request", plan_.submitted.content->id}, {"target", name.str()}});
+        host_.on_loss(name);
+    }
+    asked_.clear();
+    placed_.emplace(*host_.place(make_query()));
+}
+
 void relayed_request::open()
 {
     attempt_ = attempt_.next();
--- a/src/relay/relayed_request.hpp
+++ b/src/relay/relayed_request.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -23,6 +24,9 @@
     /// @return where the request should go, empty where there is no target
     virtual std::optional<placement> place(const placement_query& query) = 0;
 
+    /// @return the targets that are worth asking for their load before place()
+    virtual std::vector<target_record> survey(const placement_query& query) = 0;
+
     /// @return true where the fleet's budget has room for one more arrival at the service
     virtual bool may_repeat(const core::service_name& service) = 0;
 
@@ -74,7 +78,7 @@
     void on(const attempt_answered& heard, core::instant now);
     void on(const attempt_rejected& heard, core::instant now);
     void on(const attempt_lost& heard, core::instant now);
-    void on(const target_alive& heard, core::instant now);
+    void on(const target_answered& heard, core::instant now);
 
     /// Raises the events of timers that have ended.
     void on_time(core::instant now);
@@ -100,10 +104,14 @@
 
     core::attempt_number attempt_;
     std::optional<core::cell<placement>> placed_;
+    /// Targets that were asked for their load and have not answered.
+    std::map<core::target_name, target_record> asked_;
+    std::map<core::target_name, reported_load> loads_;
     std::set<core::target_name> tried_;
     std::optional<core::failure_domain_name> lost_domain_;
     std::optional<core::target_name> copy_at_;
     std::uint32_t offers_ = 0;
+    std::uint32_t rejections_ = 0;
     std::uint32_t runs_ = 0;
     bool may_have_run_ = false;
     bool attempt_sent_ = false;
@@ -125,7 +133,10 @@
                 core::duration retry_after);
     void log_end(std::string_view outcome) const;
 
+    [[nodiscard]] placement_query make_query() const;
     void seek_target();
+    void ask_candidates();
+    void choose_candidate();
     void open();
     void begin_answer();
     void deliver_events();
--- a/src/relay/request_chart.hpp
+++ b/src/relay/request_chart.hpp
@@ -10,6 +10,9 @@
     time_up,
     target_found,
     target_missing,
+    candidates_found,
+    load_heard,
+    survey_ended,
     placement_due,
     attempt_rejected,
     attempt_lost,
@@ -32,12 +35,17 @@
     replaces_failure,
     may_ask,
     events_seen,
+    candidates_left,
+    candidate_lives,
 };
 
 /// Actions of the chart `relayed_request`.
 enum class request_action : chart::symbol {
     seek_target,
     release_attempt,
+    ask_candidates,
+    choose_candidate,
+    note_survey,
     open_attempt,
     close_attempt,
     ask_target,
@@ -61,6 +69,7 @@
 enum class request_timeout : chart::symbol {
     answer_limit,
     placement_pause,
+    survey_limit,
     first_answer_limit,
     pause_limit,
     question_limit,
--- a/src/relay/target_chooser.hpp
+++ b/src/relay/target_chooser.hpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <vector>
 
+#include "relay/reported_load.hpp"
 #include "relay/target.hpp"
 
 namespace cyclamen::relay {
@@ -23,8 +24,11 @@
 struct candidate {
     const target_record* record;
     const own_work* work;
-    /// Way round the ring of the service's targets from this instance's place, 0 to 0.5.
+    /// How far the target is from the preferred one, 0 to 1: by the prompt's own order of targets,
+    /// or on the ring of the service's targets from this instance's place.
     double distance;
+    /// What the target said of itself, null where it was not asked.
+    const reported_load* load;
 };
 
 /// Compares targets. Called by target_directory on the decision task.
--- a/src/relay/target_directory.cpp
+++ b/src/relay/target_directory.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <tuple>
 
+#include "core/hash.hpp"
 #include "core/log.hpp"
 
 namespace cyclamen::relay {
@@ -125,8 +126,9 @@
     const target_record& target = chosen->record.get();
     std::optional<target_record> standby;
     if (query.wants_standby) {
-        const placement_query second{query.service, query.prompt_tokens, {target.name}, {}, {},
-                                     false};
+        const placement_query second{
+            query.service, query.prompt_tokens, query.prompt_key, {target.name}, {}, {},
+            false,         query.loads};
         const known_target* found = pick(second, &target.domain, now);
         if (found != nullptr && found->record.get().name != target.name) {
             standby.emplace(found->record.get());
@@ -138,28 +140,91 @@
 const target_directory::known_target*
 target_directory::pick(const placement_query& query, const core::failure_domain_name* other_than,
                        core::instant now)
+{
+    const std::vector<const known_target*> best = best_class(query, other_than, now);
+    return best.empty() ? nullptr : best[chooser_->choose(compare(best, query), settings_.domain)];
+}
+
+std::vector<const target_directory::known_target*>
+target_directory::best_class(const placement_query& query,
+                             const core::failure_domain_name* other_than, core::instant now)
 {
     // Targets that are ready, untried and in a sound domain go before those that are not.
-    std::map<std::tuple<routing::readiness, bool, bool>, std::vector<const known_target*>> classes;
+    std::map<std::tuple<bool, routing::readiness, bool, bool>, std::vector<const known_target*>>
+        classes;
     for (const auto& [name, each] : targets_) {
         const target_record& record = each.record.get();
         const auto ready = each.health->ready(now);
         const bool excluded = other_than != nullptr && record.domain == *other_than;
         if (record.service == query.service && ready != routing::readiness::leaving && !excluded) {
+            const bool unasked = !query.loads.empty() && !query.loads.contains(name);
             const bool doubtful_domain =
                 query.lost_domain == record.domain || is_domain_doubtful(record, now);
-            classes[{ready, query.tried.contains(name), doubtful_domain}].push_back(&each);
+            classes[{unasked, ready, query.tried.contains(name), doubtful_domain}].push_back(&each);
         }
     }
-    if (classes.empty()) {
-        return nullptr;
+    return classes.empty() ? std::vector<const known_target*>{} : classes.begin()->second;
+}
+
+std::vector<target_record> target_directory::survey(const placement_query& query, core::instant now)
+{
+    std::vector<target_record> chosen;
+    std::set<core::target_name> tried = query.tried;
+    std::set<core::failure_domain_name> domains;
+    while (chosen.size() < settings_.placement.survey_size) {
+        const placement_query next{query.service,
+                                   query.prompt_tokens,
+                                   query.prompt_key,
+                                   tried,
+                                   query.lost_domain,
+                                   {},
+                                   false,
+                                   {}};
+        // The last one is of another domain, so that one of them can be the standby.
+        const bool needs_other =
+            domains.size() == 1 && chosen.size() + 1 == settings_.placement.survey_size;
+        const known_target* found = pick(next, needs_other ? &*domains.begin() : nullptr, now);
+        if (found == nullptr || tried.contains(found->record.get().name)) {
+            break;
+        }
+        chosen.push_back(found->record.get());
+        tried.insert(found->record.get().name);
+        domains.insert(found->record.get().domain);
     }
-    const std::vector<const known_target*>& best = classes.begin()->second;
+    if (chosen.empty()) {
+        // All have been tried: they are asked again.
+        if (const known_target* found = pick(query, nullptr, now); found != nullptr) {
+            chosen.push_back(found->record.get());
+        }
+    }
+    return chosen;
+}
+
+std::vector<candidate> target_directory::compare(const std::vector<const known_target*>& targets,
+                                                 const placement_query& query) const
+{
     std::vector<candidate> candidates;
-    for (const known_target* each : best) {
-        candidates.push_back(candidate{&each->record.get(), &each->work, distance_to(*each)});
+    for (const known_target* each : targets) {
+        const auto load = query.loads.find(each->record.get().name);
+        candidates.push_back(candidate{&each->record.get(), &each->work, distance_to(*each),
+                                       load == query.loads.end() ? nullptr : &load->second});
+    }
+    if (query.prompt_key.empty()) {
+        return candidates;
+    }
+    // Every instance finds the same order, so that a caller who comes back to another instance
+    // reaches the engine that has read the prompt.
+    const std::uint64_t key = core::hash_of(query.prompt_key);
+    std::vector<std::pair<std::uint64_t, std::size_t>> order;
+    for (std::size_t i = 0; i < targets.size(); ++i) {
+        order.emplace_back(core::rendezvous_weight(key, targets[i]->record.get().name.str()), i);
+    }
+    std::sort(order.rbegin(), order.rend());
+    for (std::size_t rank = 0; rank < order.size(); ++rank) {
+        candidates[order[rank].second].distance =
+            static_cast<double>(rank) / static_cast<double>(order.size());
     }
-    return best[chooser_->choose(candidates, settings_.domain)];
+    return candidates;
 }
 
 bool target_directory::takes_work(const target_record& target) const
--- a/src/relay/target_directory.hpp
+++ b/src/relay/target_directory.hpp
@@ -37,6 +37,11 @@
     /// @return where the request should go, empty where no target is listed
     [[nodiscard]] std::optional<placement> choose(const placement_query& query, core::instant now);
 
+    /// @return the targets that are worth asking for their load, in more than one failure domain
+    ///         where possible; empty where no target is listed
+    [[nodiscard]] std::vector<target_record> survey(const placement_query& query,
+                                                    core::instant now);
+
     /// @return true where a target of that life is listed and takes work
     [[nodiscard]] bool takes_work(const target_record& target) const;
 
@@ -81,6 +86,11 @@
     void add(const target_record& record, core::instant now);
     void share_places();
     [[nodiscard]] double distance_to(const known_target& target) const;
+    [[nodiscard]] std::vector<const known_target*>
+    best_class(const placement_query& query, const core::failure_domain_name* other_than,
+               core::instant now);
+    [[nodiscard]] std::vector<candidate> compare(const std::vector<const known_target*>& targets,
+                                                 const placement_query& query) const;
     [[nodiscard]] const known_target* pick(const placement_query& query,
                                            const core::failure_domain_name* other_than,
                                            core::instant now);
--- /dev/null
+++ b/tests/http/event_splitter_test.cpp
@@ -0,0 +1,41 @@
+#include "http/event_splitter.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <rapidcheck/boost_test.h>
+
+using namespace cyclamen;
+
+BOOST_AUTO_TEST_CASE(a_partial_event_waits_for_its_rest)
+{
+    http::event_splitter splitter;
+    BOOST_TEST(splitter.feed("id: 1\ndata: a\n\nid: 2\nda") == "id: 1\ndata: a\n\n");
+    BOOST_TEST(splitter.has_partial());
+    BOOST_TEST(splitter.feed("ta: b\n\n") == "id: 2\ndata: b\n\n");
+    BOOST_TEST(!splitter.has_partial());
+}
+
+BOOST_AUTO_TEST_CASE(the_last_id_is_that_of_the_last_event_that_has_one)
+{
+    BOOST_TEST(http::last_event_id("id: 7\ndata: id:9\n\n") == "7");
+    BOOST_TEST(http::last_event_id("id: 7\ndata: a\n\nid:8\r\ndata: b\r\n\r\n") == "8");
+    BOOST_TEST(http::last_event_id("data: a\n\n") == "");
+}
+
+RC_BOOST_PROP(no_byte_of_a_stream_is_lost_or_moved, (const std::vector<std::uint8_t>& cuts))
+{
+    std::string stream;
+    for (int i = 1; i < 20; ++i) {
+        stream += "id: " + std::to_string(i) + "\ndata: token\n\n";
+    }
+    http::event_splitter splitter;
+    std::string heard;
+    std::size_t at = 0;
+    for (std::size_t i = 0; at < stream.size(); ++i) {
+        const std::size_t step = i < cuts.size() ? cuts[i] : stream.size();
+        heard += splitter.feed(std::string_view{stream}.substr(at, step));
+        at = std::min(stream.size(), at + step);
+        RC_ASSERT(heard.empty() || heard.ends_with("\n\n"));
+    }
+    RC_ASSERT(heard == stream);
+}
--- /dev/null
+++ b/tests/http/message_reader_test.cpp
@@ -0,0 +1,119 @@
+#include "http/message_reader.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <rapidcheck/boost_test.h>
+
+using namespace cyclamen;
+
+namespace {
+
+/// Reads a response that ends with an orderly close.
+std::unique_ptr<http::response_reader> read_until_close(std::string_view bytes)
+{
+    auto reader = std::make_unique<http::response_reader>(false);
+    reader->feed(bytes);
+    reader->finish();
+    return reader;
+}
+
+bool is_whole(std::string_view bytes)
+{
+    const auto reader = read_until_close(bytes);
+    return reader->is_complete() && reader->error().ok();
+}
+
+int refusal_of(std::string_view bytes)
+{
+    http::request_reader reader{
+        http::message_limits{.most_header_bytes = 200, .most_body_bytes = 10}};
+    reader.feed(bytes);
+    return reader.refusal();
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(a_cut_answer_is_never_whole)
+{
+    BOOST_TEST(!is_whole(""));
+    BOOST_TEST(!is_whole("HTTP/1.1 200 OK\r\ncontent-le"));
+    BOOST_TEST(!is_whole("HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nabc"));
+    BOOST_TEST(!is_whole("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n"));
+    BOOST_TEST(!is_whole("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nab"));
+}
+
+BOOST_AUTO_TEST_CASE(whole_answers_of_each_framing_are_read)
+{
+    BOOST_TEST(is_whole("HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nabc"));
+    BOOST_TEST(
+        is_whole("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"));
+    BOOST_TEST(is_whole("HTTP/1.1 200 OK\r\n\r\nabc"));
+    BOOST_TEST(is_whole("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n"));
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_without_a_length_is_not_whole_before_its_connection_ends)
+{
+    http::response_reader reader{false};
+    reader.feed("HTTP/1.1 200 OK\r\n\r\nabc");
+    BOOST_TEST(reader.has_head());
+    BOOST_TEST(!reader.is_complete());
+}
+
+BOOST_AUTO_TEST_CASE(bytes_that_are_no_answer_are_errors)
+{
+    BOOST_TEST(!is_whole("garbage\r\n\r\n"));
+    BOOST_TEST(!is_whole("HTTP/1.1 200 OK\r\ncontent-length: 3\r\ncontent-length: 4\r\n\r\nabc"));
+    BOOST_TEST(!is_whole("HTTP/1.1 200 OK\r\ncontent-length: x\r\n\r\nabc"));
+    BOOST_TEST(
+        !is_whole("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\nzz\r\nabc\r\n0\r\n\r\n"));
+}
+
+BOOST_AUTO_TEST_CASE(bytes_after_a_whole_answer_are_left_over)
+{
+    http::response_reader reader{false};
+    const std::string_view bytes =
+        "HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nabcHTTP/1.1 200 OK\r\n";
+    const std::size_t used = reader.feed(bytes);
+    BOOST_TEST(reader.is_complete());
+    BOOST_TEST(reader.take_body() == "abc");
+    BOOST_TEST(bytes.substr(used).starts_with("HTTP/1.1"));
+}
+
+BOOST_AUTO_TEST_CASE(requests_with_unclear_framing_are_refused)
+{
+    constexpr int bad_request = 400;
+    BOOST_TEST(refusal_of("POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 3\r\n"
+                          "transfer-encoding: chunked\r\n\r\n0\r\n\r\n") == bad_request);
+    BOOST_TEST(refusal_of("POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 3\r\n"
+                          "content-length: 4\r\n\r\nabcd") == bad_request);
+    BOOST_TEST(refusal_of("GET / HTTP/1.1\r\nhost: a\r\nhost: b\r\n\r\n") == bad_request);
+    BOOST_TEST(refusal_of("nonsense\r\n\r\n") == bad_request);
+    BOOST_TEST(refusal_of("GET / HTTP/1.1\r\nhost: a\r\n\r\n") == 0);
+}
+
+BOOST_AUTO_TEST_CASE(requests_over_the_limits_are_refused)
+{
+    constexpr int too_large = 413;
+    constexpr int head_too_large = 431;
+    BOOST_TEST(refusal_of("POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 11\r\n\r\n") == too_large);
+    BOOST_TEST(refusal_of("GET / HTTP/1.1\r\nhost: " + std::string(300, 'a') + "\r\n\r\n") ==
+               head_too_large);
+}
+
+RC_BOOST_PROP(a_request_reads_the_same_however_it_is_split, (const std::vector<std::uint8_t>& cuts))
+{
+    const std::string text = "POST /a/b?c HTTP/1.1\r\nHost: x\r\nX-Y: z\r\n"
+                             "transfer-encoding: chunked\r\n\r\n4\r\nabcd\r\n3\r\nefg\r\n0\r\n\r\n";
+    http::request_reader reader{http::message_limits{}};
+    std::size_t arrived = 0;
+    std::size_t used = 0;
+    for (std::size_t i = 0; arrived < text.size(); ++i) {
+        const std::size_t step = i < cuts.size() ? cuts[i] % 16 : text.size();
+        arrived = std::min(text.size(), arrived + step);
+        used += reader.feed(std::string_view{text}.substr(used, arrived - used));
+    }
+    RC_ASSERT(reader.is_complete());
+    const http::request read = reader.take();
+    RC_ASSERT(read.method == "POST" && read.path == "/a/b?c" && read.body == "abcdefg");
+    RC_ASSERT(read.find_header("x-y") == "z");
+}
--- /dev/null
+++ b/tests/platform/codec_test.cpp
@@ -0,0 +1,176 @@
+#include <boost/test/unit_test.hpp>
+
+#include "platform/configuration_codec.hpp"
+#include "platform/entry_codec.hpp"
+#include "platform/store_codec.hpp"
+#include "platform/target_codec.hpp"
+
+using namespace cyclamen;
+using namespace std::chrono_literals;
+
+namespace {
+
+http::request client_request()
+{
+    return http::request{"POST",
+                         "/a/b?c",
+                         {{"host", "h.example:80"},
+                          {"x-cyclamencourse-request-id", "9c41"},
+                          {"x-cyclamencourse-deadline-ms", "2500"},
+                          {"x-cyclamencourse-token-counts", "1460,80"},
+                          {"x-cyclamencourse-prompt-prefix", "5c1e:800, 91bd:410"},
+                          {"x-cyclamencourse-tenant", "someone else"},
+                          {"x-cyclamencourse-kv-backup", "10.0.0.9:1"},
+                          {"kv-from", "10.0.0.9:1/other"},
+                          {"connection", "keep-alive, x-hop"},
+                          {"x-hop", "1"},
+                          {"last-event-id", "12"},
+                          {"api-key", "secret"},
+                          {"x-other", "kept"}},
+                         "body"};
+}
+
+const relay::target_record target{core::target_name{"i-1"},
+                                  core::service_name{"s"},
+                                  core::socket_address{"10.128.0.9", 8080},
+                                  core::failure_domain_name{"z"},
+                                  core::version_name{"v1"},
+                                  core::wall_time{},
+                                  false};
+
+relay::open_attempt attempt(bool from_copy)
+{
+    const auto submission = platform::decode_submission(client_request(), relay::caller_id{1});
+    return relay::open_attempt{relay::attempt_id{relay::request_number{1}, core::attempt_number{1}},
+                               target.name,
+                               target.address,
+                               submission->content,
+                               1500ms,
+                               core::account_name{"huka"},
+                               submission->last_event,
+                               core::socket_address{"10.128.0.10", 8080},
+                               from_copy};
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(a_client_request_is_decoded_once)
+{
+    const auto decoded = platform::decode_submission(client_request(), relay::caller_id{7});
+    BOOST_REQUIRE(decoded.has_value());
+    BOOST_TEST(decoded->content->id == "9c41");
+    BOOST_TEST(decoded->content->host == "h.example");
+    BOOST_TEST((decoded->patience == 2500ms));
+    BOOST_TEST(decoded->prompt_tokens == 1460U);
+    BOOST_TEST(decoded->most_output_tokens == 80U);
+    BOOST_TEST(decoded->prompt_key == "91bd:410");
+    BOOST_TEST(decoded->key == "secret");
+    BOOST_TEST(decoded->last_event.value_or("") == "12");
+}
+
+BOOST_AUTO_TEST_CASE(a_runner_gets_no_field_that_only_the_system_may_set_from_a_client)
+{
+    const http::request sent = platform::encode_attempt(attempt(false));
+    BOOST_TEST(sent.find_header("x-cyclamencourse-tenant") == "huka");
+    BOOST_TEST(sent.find_header("x-cyclamencourse-kv-backup") == "10.128.0.10:8080");
+    BOOST_TEST(sent.find_header("kv-from").empty());
+    BOOST_TEST(sent.find_header("api-key").empty());
+    BOOST_TEST(sent.find_header("x-hop").empty());
+    BOOST_TEST(sent.find_header("x-other") == "kept");
+    BOOST_TEST(sent.find_header("x-cyclamencourse-expect-instance") == "i-1");
+    BOOST_TEST(sent.find_header("x-cyclamencourse-deadline-ms") == "1500");
+    BOOST_TEST(sent.find_header("last-event-id") == "12");
+    BOOST_TEST(sent.find_header("host") == "h.example");
+    BOOST_TEST(sent.path == "/a/b?c");
+    BOOST_TEST(sent.body == "body");
+}
+
+BOOST_AUTO_TEST_CASE(a_run_from_a_copy_names_its_holder_and_request)
+{
+    const http::request sent = platform::encode_attempt(attempt(true));
+    BOOST_TEST(sent.find_header("kv-from") == "10.128.0.9:8080/9c41");
+}
+
+BOOST_AUTO_TEST_CASE(answers_that_are_not_of_this_request_are_foreign)
+{
+    using platform::answer_kind;
+    const auto kind = [](int status, std::vector<http::header> headers) {
+        return platform::classify(http::response_head{status, std::move(headers)}, "9c41");
+    };
+    BOOST_TEST((kind(200, {{"x-cyclamencourse-request-id", "other"},
+                           {"x-cyclamencourse-response-seal", "s"}}) == answer_kind::foreign));
+    BOOST_TEST((kind(200, {}) == answer_kind::foreign));
+    BOOST_TEST((kind(200, {{"x-cyclamencourse-response-seal", "s"}}) == answer_kind::whole));
+    BOOST_TEST((kind(200, {{"x-cyclamencourse-response-seal", "s"},
+                           {"content-type", "text/event-stream"}}) == answer_kind::stream));
+    BOOST_TEST((kind(503, {{"x-cyclamencourse-not-executed", "1"}}) == answer_kind::rejected));
+    BOOST_TEST((kind(421, {}) == answer_kind::misdirected));
+    BOOST_TEST((kind(503, {}) == answer_kind::whole));
+}
+
+BOOST_AUTO_TEST_CASE(only_true_refusals_get_a_status_that_promises)
+{
+    const auto status = [](core::error_kind kind, bool not_run) {
+        return platform::encode_refusal(core::failure{kind, "x", not_run, 300ms}).status;
+    };
+    constexpr int unavailable = 503;
+    for (const core::error_kind kind :
+         {core::error_kind::overloaded, core::error_kind::unavailable,
+          core::error_kind::deadline_exceeded, core::error_kind::quarantined}) {
+        const int given = status(kind, false);
+        BOOST_TEST((given != 429 && given != unavailable && given != 408 && given != 421));
+    }
+    BOOST_TEST(status(core::error_kind::overloaded, true) == unavailable);
+    const auto head =
+        platform::encode_refusal(core::failure{core::error_kind::overloaded, "x", true, 300ms});
+    BOOST_TEST(http::find_header(head.headers, "retry-after") == "0.3");
+}
+
+BOOST_AUTO_TEST_CASE(a_configuration_is_decoded_with_its_splits_accounts_and_engines)
+{
+    const auto table = platform::decode_configuration(R"({"version":7,"routes":[
+        {"name":"r","host":"h","prefix":"/a/","kind":"streaming","timeout_ms":25000,"goal_ms":4500,
+         "priority":1,"traffic_split":[{"backend":"s","weight":90},{"backend":"u","weight":10}],
+         "attempts":5,"public":false,"resumable":true,"gap_target_ms":700}],
+        "backends":[{"name":"s","engine":{"slots":64,"kv_capacity_tokens":55000,"backups":true}},
+                    {"name":"u"}],
+        "limits":{"max_header_bytes":100,"max_body_bytes":200,"header_timeout_ms":3,
+                  "idle_timeout_ms":4},
+        "tenants":[{"name":"t","api_keys":["k1","k2"]}]})");
+    BOOST_REQUIRE(table.ok());
+    const relay::route* way = (*table)->find_route("h", "/a/x?y");
+    BOOST_REQUIRE(way != nullptr);
+    BOOST_TEST(way->services.size() == 2U);
+    BOOST_TEST((way->pause_goal == 700ms));
+    BOOST_TEST((*table)->find_service(core::service_name{"s"})->engine->copies_memory);
+    BOOST_TEST(!(*table)->find_service(core::service_name{"u"})->engine.has_value());
+    BOOST_TEST((*table)->find_account("k2")->str() == "t");
+    BOOST_TEST((*table)->needs_keys());
+}
+
+BOOST_AUTO_TEST_CASE(rows_that_name_no_runner_are_errors)
+{
+    for (const char* text : {"", "nonsense", "[]", "{}", R"({"backend":"s"})",
+                             R"({"backend":"s","address":7,"state":"ready"})",
+                             R"({"backend":"s","address":"10.0.0.1:80","state":"dancing"})",
+                             R"({"backend":["s"],"address":"10.0.0.1:80","state":"ready"})"}) {
+        BOOST_TEST(!platform::decode_target("i-1", text).ok());
+    }
+    const auto good = platform::decode_target(
+        "i-1", R"({"backend":"s","address":"10.0.0.1:80","state":"draining","zone":"z","born":5})");
+    BOOST_REQUIRE(good.ok());
+    BOOST_TEST(good->leaving);
+}
+
+BOOST_AUTO_TEST_CASE(rows_of_the_store_are_decoded_with_removals)
+{
+    const auto rows = platform::decode_rows(
+        R"({"rows":[{"table":"t","part":"","key":"a","value":"eA==","schema_version":3},
+                    {"table":"t","part":"","key":"b","schema_version":4,"deleted":true}],
+            "has_more":false,"schema_version":5,"now_ms":1})");
+    BOOST_REQUIRE(rows.ok());
+    BOOST_TEST(rows->rows.at(0).value == "x");
+    BOOST_TEST(rows->rows.at(1).removed);
+    BOOST_TEST(rows->version == 5U);
+    BOOST_TEST(!platform::decode_rows("{}").ok());
+}
--- /dev/null
+++ b/tests/relay/world.hpp
@@ -0,0 +1,217 @@
+#pragma once
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <set>
+#include <vector>
+
+#include <boost/test/unit_test.hpp>
+
+#include "chart/library.hpp"
+#include "core/clock.hpp"
+#include "relay/least_work_chooser.hpp"
+#include "relay/relay_manager.hpp"
+
+namespace cyclamen::test {
+
+using namespace std::chrono_literals;
+
+/// A relay manager in virtual time; what it decides is collected.
+class relay_world final : private relay::relay_host {
+  public:
+    explicit relay_world(relay::request_kind kind = relay::request_kind::streaming,
+                         relay::retry_settings retries = {})
+        : settings_{.name = core::instance_name{"i-1"},
+                    .domain = core::failure_domain_name{"a"},
+                    .entry = core::socket_address{"10.0.0.1", 80},
+                    .retries = retries},
+          manager_{settings_, load_charts(),
+                   std::make_unique<relay::least_work_chooser>(settings_.placement),
+                   static_cast<relay::relay_host&>(*this)}
+    {
+        manager_.start(clock_.now());
+        apply_configuration(1, kind);
+        list_targets(3);
+        members_.emplace_back(core::instance_name{"i-1"}, settings_.entry, settings_.domain);
+    }
+
+    void handle(const relay::relay_message& message)
+    {
+        manager_.handle(message, clock_.now());
+        answer_questions();
+    }
+
+    /// Passes time in steps of a millisecond.
+    void pass(core::duration time)
+    {
+        for (core::duration passed{}; passed < time; passed += 1ms) {
+            clock_.advance(1ms);
+            const auto due = manager_.next_due();
+            if (due.has_value() && *due <= clock_.now()) {
+                manager_.on_time(clock_.now());
+                answer_questions();
+            }
+        }
+    }
+
+    /// Accepts a configuration with one service, one route and one account.
+    void apply_configuration(std::uint64_t revision, relay::request_kind kind,
+                             const std::string& key = "key-1")
+    {
+        const core::service_name service{"engines"};
+        const bool streams = kind == relay::request_kind::streaming;
+        const relay::route way{.name = "r",
+                               .host = "host",
+                               .prefix = "/p/",
+                               .kind = kind,
+                               .answer_limit = 20s,
+                               .answer_goal = 4s,
+                               .pause_goal = 700ms,
+                               .rank = 1,
+                               .services = {relay::weighted_service{service, 1}},
+                               .most_runs = kind == relay::request_kind::unsafe ? 1U : 3U,
+                               .is_public = false,
+                               .resumable = streams};
+        const auto engine =
+            streams ? std::optional{relay::engine_traits{64, 50000, true}} : std::nullopt;
+        handle(relay::configuration_read{std::make_shared<const relay::route_table>(
+            core::revision{revision}, std::vector{way},
+            std::vector{relay::service_traits{service, engine}},
+            std::vector{relay::account{core::account_name{"account"}, {key}}},
+            relay::caller_limits{16384, 1 << 20, 3s, 15s})});
+    }
+
+    /// Lists targets t-0, t-1, ... in the failure domains a, b, c by turns.
+    void list_targets(int count, bool leaving = false)
+    {
+        std::vector<relay::target_record> listed;
+        for (int i = 0; i < count; ++i) {
+            listed.push_back(target(i, leaving));
+        }
+        handle(relay::targets_listed{true, std::move(listed), {}});
+    }
+
+    [[nodiscard]] static relay::target_record target(int index, bool leaving = false,
+                                                     std::uint64_t born_ms = 1000)
+    {
+        return relay::target_record{
+            core::target_name{"t-" + std::to_string(index)},
+            core::service_name{"engines"},
+            core::socket_address{"10.1.0." + std::to_string(index + 1), 8080},
+            core::failure_domain_name{std::string(1, static_cast<char>('a' + index % 3))},
+            core::version_name{"v1"},
+            core::wall_time{std::chrono::milliseconds{born_ms}},
+            leaving};
+    }
+
+    /// Sends a request as a caller.
+    void submit(std::uint64_t caller, const std::string& path = "/p/x",
+                const std::string& key = "key-1")
+    {
+        handle(relay::submission{
+            relay::caller_id{caller},
+            std::make_shared<const relay::opaque_request>(relay::opaque_request{
+                "id-" + std::to_string(caller), "POST", path, "host", {}, "body"}),
+            25s, key, 5000, 700, "part-" + std::to_string(caller), std::nullopt});
+    }
+
+    /// @return the last attempt that was opened
+    [[nodiscard]] const relay::open_attempt& opened() const
+    {
+        const auto* last = find_last<relay::open_attempt>(to_targets);
+        BOOST_REQUIRE(last != nullptr);
+        return *last;
+    }
+
+    template <class Wanted, class Command>
+    [[nodiscard]] static const Wanted* find_last(const std::vector<std::unique_ptr<Command>>& sent)
+    {
+        for (auto each = sent.rbegin(); each != sent.rend(); ++each) {
+            if (const auto* found = std::get_if<Wanted>(each->get()); found != nullptr) {
+                return found;
+            }
+        }
+        return nullptr;
+    }
+
+    template <class Wanted, class Command>
+    [[nodiscard]] static std::size_t count(const std::vector<std::unique_ptr<Command>>& sent)
+    {
+        return static_cast<std::size_t>(
+            std::count_if(sent.begin(), sent.end(),
+                          [](const auto& each) { return std::holds_alternative<Wanted>(*each); }));
+    }
+
+    /// The target of the last attempt sends the head and events up to an id.
+    void stream_to(int event)
+    {
+        const relay::attempt_id attempt = opened().attempt;
+        handle(relay::stream_begun{attempt, relay::answer_head{200, {{"seal", "s"}}}});
+        handle(relay::stream_events{attempt, "id: " + std::to_string(event) + "\n\n",
+                                    std::to_string(event)});
+    }
+
+    void lose(bool sent = true)
+    {
+        handle(relay::attempt_lost{opened().attempt, sent, "lost by the test"});
+    }
+
+    [[nodiscard]] std::size_t open_requests() const { return manager_.open_requests(); }
+
+    std::vector<std::unique_ptr<relay::entry_command>> to_entries;
+    std::vector<std::unique_ptr<relay::target_command>> to_targets;
+    std::vector<std::unique_ptr<relay::store_command>> to_store;
+    bool ended = false;
+    /// Whether targets answer the question how they fare, and which of them don't.
+    bool targets_answer = true;
+    std::set<std::string> mute_targets;
+    std::map<std::string, relay::reported_load> loads;
+
+  private:
+    std::size_t answered_ = 0;
+
+    void answer_questions()
+    {
+        while (targets_answer && answered_ < to_targets.size()) {
+            const auto* asked = std::get_if<relay::ask_target>(to_targets[answered_].get());
+            ++answered_;
+            if (asked != nullptr && !mute_targets.contains(asked->target.str())) {
+                const auto load = loads.find(asked->target.str());
+                manager_.handle(relay::target_answered{asked->request, asked->target,
+                                                       load == loads.end()
+                                                           ? relay::reported_load{0, 0, 0, 50000}
+                                                           : load->second},
+                                clock_.now());
+            }
+        }
+    }
+
+    const relay::relay_settings settings_;
+    core::manual_clock clock_;
+    std::vector<relay::member> members_;
+    relay::relay_manager manager_;
+
+    static relay::relay_charts load_charts()
+    {
+        const auto charts = relay::relay_charts::load(chart::library::embedded());
+        BOOST_REQUIRE(charts.ok());
+        return *charts;
+    }
+
+    void send(relay::entry_command command) override
+    {
+        to_entries.push_back(std::make_unique<relay::entry_command>(std::move(command)));
+    }
+    void send(relay::target_command command) override
+    {
+        to_targets.push_back(std::make_unique<relay::target_command>(std::move(command)));
+    }
+    void send(relay::store_command command) override
+    {
+        to_store.push_back(std::make_unique<relay::store_command>(command));
+    }
+    void end_process(bool /*work_cut*/) override { ended = true; }
+};
+
+} // namespace cyclamen::test
