--- a/src/relay/target.hpp
+++ b/src/relay/target.hpp
@@ -18,6 +18,8 @@
     const core::version_name version;
     /// When this life of the target began; a later life knows nothing of an earlier one.
     const core::wall_time born;
+    /// Numbers what this life of the target has said of itself.
+    const std::uint64_t statement;
     /// Announced that it takes no new work.
     const bool leaving;
 
--- a/src/relay/target_directory.cpp
+++ b/src/relay/target_directory.cpp
@@ -18,6 +18,18 @@
 
 target_directory::~target_directory() = default;
 
+template <class Condition>
+std::vector<core::target_name> target_directory::names_where(Condition condition) const
+{
+    std::vector<core::target_name> names;
+    for (const auto& [name, each] : targets_) {
+        if (condition(each.record.get())) {
+            names.push_back(name);
+        }
+    }
+    return names;
+}
+
 void target_directory::on_targets(const targets_listed& listed, core::instant now)
 {
     if (listed.complete) {
@@ -25,10 +37,13 @@
         for (const target_record& each : listed.present) {
             present.insert(each.name);
         }
-        std::erase_if(targets_, [&](const auto& each) { return !present.contains(each.first); });
+        for (const core::target_name& each : names_where(
+                 [&](const target_record& known) { return !present.contains(known.name); })) {
+            forget(each, "missing from the whole list");
+        }
     }
     for (const core::target_name& each : listed.gone) {
-        targets_.erase(each);
+        forget(each, "no longer listed");
     }
     for (const target_record& each : listed.present) {
         add(each, now);
@@ -39,11 +54,21 @@
 void target_directory::add(const target_record& record, core::instant now)
 {
     known_target* known = find(record.name);
-    if (known != nullptr && record.born < known->record.get().born) {
+    if (known != nullptr &&
+        std::pair{record.born, record.statement} <
+            std::pair{known->record.get().born, known->record.get().statement}) {
+        // Written late: the target has said something newer meanwhile.
         return;
     }
-    drop_earlier_lives(record);
+    for (const core::target_name& each : names_where([&](const target_record& other) {
+             return other.name != record.name && other.address == record.address &&
+                    other.born < record.born;
+         })) {
+        forget(each, core::concat("address taken by ", record.name.str()));
+    }
+    known = find(record.name);
     const bool new_life = known == nullptr || record.born != known->record.get().born;
+    const bool was_leaving = !new_life && known->record.get().leaving;
     if (!new_life) {
         known->record.set(record);
     }
@@ -62,11 +87,15 @@
     if (record.leaving) {
         known->health->on_leaving(now);
     }
-    core::log_event(core::log_level::debug, "target_listed",
-                    {{"target", record.name.str()},
-                     {"service", record.service.str()},
-                     {"address", core::to_string(record.address)},
-                     {"leaving", record.leaving}});
+    if (new_life || record.leaving != was_leaving) {
+        core::log_event(core::log_level::info, "target_listed",
+                        {{"target", record.name.str()},
+                         {"service", record.service.str()},
+                         {"address", core::to_string(record.address)},
+                         {"domain", record.domain.str()},
+                         {"born_ms", record.born.time_since_epoch().count()},
+                         {"leaving", record.leaving}});
+    }
 }
 
 void target_directory::on_members(const std::vector<member>& members)
@@ -289,15 +318,6 @@
     return recent >= settings_.placement.losses_to_doubt_domain;
 }
 
-void target_directory::drop_earlier_lives(const target_record& record)
-{
-    std::erase_if(targets_, [&](const auto& each) {
-        const target_record& other = each.second.record.get();
-        return other.name != record.name && other.address == record.address &&
-               other.born < record.born;
-    });
-}
-
 void target_directory::on_success(const core::target_name& target, core::instant now)
 {
     if (known_target* known = find(target); known != nullptr) {
@@ -307,10 +327,18 @@
 
 void target_directory::on_misdirected(const core::target_name& target)
 {
-    targets_.erase(target);
+    forget(target, "another target answers at its address");
     share_places();
 }
 
+void target_directory::forget(const core::target_name& target, std::string_view reason)
+{
+    if (targets_.erase(target) > 0) {
+        core::log_event(core::log_level::info, "target_forgotten",
+                        {{"target", target.str()}, {"reason", reason}});
+    }
+}
+
 bool target_directory::allows_one_more() const
 {
     return static_cast<double>(ejected_ + 1) <=
--- a/src/relay/target_directory.hpp
+++ b/src/relay/target_directory.hpp
@@ -95,7 +95,9 @@
                                            const core::failure_domain_name* other_than,
                                            core::instant now);
     [[nodiscard]] bool is_domain_doubtful(const target_record& record, core::instant now) const;
-    void drop_earlier_lives(const target_record& record);
+    template <class Condition>
+    [[nodiscard]] std::vector<core::target_name> names_where(Condition condition) const;
+    void forget(const core::target_name& target, std::string_view reason);
     known_target* find(const core::target_name& name);
 };
 
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -36,6 +36,7 @@
                                   core::failure_domain_name{"z"},
                                   core::version_name{"v1"},
                                   core::wall_time{},
+                                  1,
                                   false};
 
 relay::open_attempt attempt(bool from_copy)
@@ -174,3 +175,13 @@
     BOOST_TEST(rows->version == 5U);
     BOOST_TEST(!platform::decode_rows("{}").ok());
 }
+
+BOOST_AUTO_TEST_CASE(only_the_last_state_of_a_row_counts)
+{
+    const std::vector<platform::store_row> rows{
+        {"a", "1", 1, false}, {"a", "2", 3, true}, {"b", "1", 2, true}, {"b", "2", 4, false}};
+    const auto latest = platform::latest_of_each(rows);
+    BOOST_REQUIRE(latest.size() == 2U);
+    BOOST_TEST(latest.at(0).removed);
+    BOOST_TEST(latest.at(1).value == "2");
+}
--- a/tests/relay/target_directory_test.cpp
+++ b/tests/relay/target_directory_test.cpp
@@ -24,6 +24,7 @@
                                      old.domain,
                                      old.version,
                                      core::wall_time{std::chrono::milliseconds{2000}},
+                                     1,
                                      false};
     world.handle(relay::targets_listed{false, {later}, {}});
     for (std::uint64_t caller = 1; caller <= 10; ++caller) {
@@ -45,6 +46,17 @@
     BOOST_TEST(used.contains("t-0"));
 }
 
+BOOST_AUTO_TEST_CASE(a_statement_that_arrives_late_does_not_bring_a_leaving_target_back)
+{
+    relay_world world;
+    world.handle(relay::targets_listed{false, {relay_world::target(0, true)}, {}});
+    world.handle(relay::targets_listed{false, {relay_world::target(0, false)}, {}});
+    for (std::uint64_t caller = 1; caller <= 10; ++caller) {
+        world.submit(caller);
+        BOOST_TEST(world.opened().target.str() != "t-0");
+    }
+}
+
 BOOST_AUTO_TEST_CASE(two_lost_targets_make_their_failure_domain_the_last_choice)
 {
     relay_world world{relay::request_kind::safe};
--- a/tests/relay/world.hpp
+++ b/tests/relay/world.hpp
@@ -102,6 +102,7 @@
             core::failure_domain_name{std::string(1, static_cast<char>('a' + index % 3))},
             core::version_name{"v1"},
             core::wall_time{std::chrono::milliseconds{born_ms}},
+            leaving ? 2U : 1U,
             leaving};
     }
 
