Follow the store's tables by feeds, and let instances watch their neighbour

Beats are gone: an entry is written at start and removed at SIGTERM, and each instance asks the next one by name every 2 s; three questions without an answer withdraw the entry, unless it has changed. A survey compares the life that answers with the one that is listed. A copy is tried where its holder is only in doubt. Trial: going on from a copy before the first event is always rejected (503), so it is not tried.

--- a/src/relay/member.hpp
+++ b/src/relay/member.hpp
@@ -15,6 +15,8 @@
     /// Where callers connect.
     const core::socket_address entry;
     const core::failure_domain_name domain;
+    /// Where it says whether it takes requests.
+    const core::socket_address ready;
 
     auto operator<=>(const member&) const = default;
 };
--- a/src/relay/member_register.cpp
+++ b/src/relay/member_register.cpp
@@ -1,27 +1,58 @@
 #include "relay/member_register.hpp"
 
-#include <set>
-
 namespace cyclamen::relay {
 
-std::vector<member> member_register::update(const std::vector<member_entry>& entries,
-                                            core::instant now)
+member_register::member_register(core::instance_name self, watch_settings settings)
+    : self_{std::move(self)}, settings_{settings}
+{
+}
+
+void member_register::update(bool complete, const std::vector<member_entry>& present,
+                             const std::vector<core::instance_name>& gone)
+{
+    if (complete) {
+        entries_.clear();
+    }
+    for (const core::instance_name& each : gone) {
+        entries_.erase(each);
+    }
+    for (const member_entry& each : present) {
+        entries_.erase(each.instance.name);
+        entries_.emplace(each.instance.name, each);
+    }
+}
+
+std::vector<member> member_register::members() const
 {
-    std::vector<member> living;
-    std::set<core::instance_name> present;
-    for (const member_entry& each : entries) {
-        present.insert(each.instance.name);
-        const auto [found, is_new] =
-            sightings_.try_emplace(each.instance.name, sighting{each.version, now});
-        if (!is_new && found->second.version != each.version) {
-            found->second = sighting{each.version, now};
-        }
-        if (now - found->second.since <= lapse_) {
-            living.push_back(each.instance);
-        }
+    std::vector<member> listed;
+    for (const auto& [name, entry] : entries_) {
+        listed.push_back(entry.instance);
+    }
+    return listed;
+}
+
+std::optional<member> member_register::watched() const
+{
+    auto next = entries_.upper_bound(self_);
+    if (next == entries_.end()) {
+        next = entries_.begin();
+    }
+    return next == entries_.end() || next->first == self_ ? std::nullopt
+                                                          : std::optional{next->second.instance};
+}
+
+std::optional<member_entry> member_register::on_answer(const core::instance_name& asked, bool lives)
+{
+    if (lives) {
+        failures_.erase(asked);
+        return std::nullopt;
+    }
+    const auto entry = entries_.find(asked);
+    if (++failures_[asked] < settings_.most_failures || entry == entries_.end()) {
+        return std::nullopt;
     }
-    std::erase_if(sightings_, [&](const auto& each) { return !present.contains(each.first); });
-    return living;
+    failures_.erase(asked);
+    return entry->second;
 }
 
 } // namespace cyclamen::relay
--- a/src/relay/member_register.hpp
+++ b/src/relay/member_register.hpp
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <vector>
 
 #include "core/time.hpp"
@@ -9,7 +10,7 @@
 
 namespace cyclamen::relay {
 
-/// What an instance last wrote about itself.
+/// An instance's entry in the list of instances.
 struct member_entry {
     const member instance;
     /// Changes with each write.
@@ -18,26 +19,46 @@
     auto operator<=>(const member_entry&) const = default;
 };
 
-/// Tells instances that live from those whose entry was left behind: an entry counts while it
-/// changes. Compares no clocks of different machines.
+/// Limits of watching.
+struct watch_settings {
+    /// Time between two questions to the instance that this one watches.
+    const core::duration period = std::chrono::seconds{2};
+    /// Questions in a row without an answer after which its entry is withdrawn.
+    const std::uint32_t most_failures = 3;
+
+    auto operator<=>(const watch_settings&) const = default;
+};
+
+/// The instances that are listed. Each watches the one that follows it by name, so that an entry
+/// that was left behind is found at a cost that doesn't grow with the fleet. Used by the relay
+/// manager on the decision task.
 class member_register {
   public:
-    /// @param lapse how long an entry counts without a change
-    explicit member_register(core::duration lapse) : lapse_{lapse} {}
+    /// @param self name of this instance
+    /// @param settings limits of watching
+    member_register(core::instance_name self, watch_settings settings);
 
-    /// Takes in all entries.
-    /// @return the instances that live, by name
-    [[nodiscard]] std::vector<member> update(const std::vector<member_entry>& entries,
-                                             core::instant now);
+    /// Takes in changes of the list.
+    /// @param complete true where entries that are not here are gone
+    void update(bool complete, const std::vector<member_entry>& present,
+                const std::vector<core::instance_name>& gone);
 
-  private:
-    struct sighting {
-        std::uint64_t version;
-        core::instant since;
-    };
+    /// @return all listed instances, by name
+    [[nodiscard]] std::vector<member> members() const;
 
-    const core::duration lapse_;
-    std::map<core::instance_name, sighting> sightings_;
+    /// @return the instance to watch, empty where there is no other
+    [[nodiscard]] std::optional<member> watched() const;
+
+    /// Counts what came of a question to a watched instance.
+    /// @return the entry to withdraw, empty where none is
+    [[nodiscard]] std::optional<member_entry> on_answer(const core::instance_name& asked,
+                                                        bool lives);
+
+  private:
+    const core::instance_name self_;
+    const watch_settings settings_;
+    std::map<core::instance_name, member_entry> entries_;
+    std::map<core::instance_name, std::uint32_t> failures_;
 };
 
 } // namespace cyclamen::relay
--- a/src/relay/messages.hpp
+++ b/src/relay/messages.hpp
@@ -12,7 +12,7 @@
 #include "core/identifier.hpp"
 #include "core/socket_address.hpp"
 #include "core/time.hpp"
-#include "relay/member.hpp"
+#include "relay/member_register.hpp"
 #include "relay/reported_load.hpp"
 #include "relay/route_table.hpp"
 #include "relay/target.hpp"
@@ -202,6 +202,14 @@
     auto operator<=>(const ask_target&) const = default;
 };
 
+/// Asks another instance whether it lives.
+struct ask_instance {
+    const core::instance_name name;
+    const core::socket_address ready;
+
+    auto operator<=>(const ask_instance&) const = default;
+};
+
 // ---- from the targets' side ----
 
 /// A target has begun a stream.
@@ -268,6 +276,14 @@
     auto operator<=>(const target_answered&) const = default;
 };
 
+/// What came of ask_instance.
+struct instance_answered {
+    const core::instance_name name;
+    const bool lives;
+
+    auto operator<=>(const instance_answered&) const = default;
+};
+
 // ---- from and to the platform's store ----
 
 /// A configuration was read.
@@ -287,9 +303,12 @@
     bool operator==(const targets_listed&) const = default;
 };
 
-/// Instances that take requests were listed.
+/// The list of instances that take requests has changed.
 struct members_listed {
-    const std::vector<member> members;
+    /// True where instances that are not here are gone.
+    const bool complete;
+    const std::vector<member_entry> present;
+    const std::vector<core::instance_name> gone;
 
     bool operator==(const members_listed&) const = default;
 };
@@ -301,6 +320,14 @@
     auto operator<=>(const announce_member&) const = default;
 };
 
+/// Withdraws the entry of an instance that doesn't answer, unless it has changed.
+struct withdraw_member {
+    const core::instance_name name;
+    const std::uint64_t version;
+
+    auto operator<=>(const withdraw_member&) const = default;
+};
+
 /// The operator wants the process to end.
 struct stop_requested {
     auto operator<=>(const stop_requested&) const = default;
@@ -310,7 +337,8 @@
 using relay_message =
     std::variant<submission, caller_gone, stream_begun, stream_events, stream_finished,
                  attempt_answered, attempt_rejected, attempt_lost, target_answered,
-                 configuration_read, targets_listed, members_listed, stop_requested>;
+                 instance_answered, configuration_read, targets_listed, members_listed,
+                 stop_requested>;
 
 /// What the task of the callers' side receives.
 using entry_command =
@@ -318,9 +346,9 @@
                  answer_cut, directory_changed, limits_changed, entry_closing>;
 
 /// What the task of the targets' side receives.
-using target_command = std::variant<open_attempt, close_attempt, ask_target>;
+using target_command = std::variant<open_attempt, close_attempt, ask_target, ask_instance>;
 
 /// What the task of the platform's store receives.
-using store_command = std::variant<announce_member>;
+using store_command = std::variant<announce_member, withdraw_member>;
 
 } // namespace cyclamen::relay
--- a/src/relay/relay_manager.cpp
+++ b/src/relay/relay_manager.cpp
@@ -10,7 +10,8 @@
                              std::unique_ptr<target_chooser> chooser, relay_host& host)
     : settings_{settings}, charts_{charts}, host_{host}, targets_{settings_, charts.target_health,
                                                                   std::move(chooser)},
-      budget_{settings.retries}, life_{settings.life, charts.life, *this}
+      budget_{settings.retries}, life_{settings.life, charts.life, *this}, members_{settings_.name,
+                                                                                    settings_.watch}
 {
 }
 
@@ -37,11 +38,17 @@
         settle(number);
     }
     life_.on_time(now);
+    if (watch_due_.has_value() && *watch_due_ <= now) {
+        watch();
+    }
 }
 
 std::optional<core::instant> relay_manager::next_due() const
 {
     std::optional<core::instant> next = life_.next_due();
+    if (watch_due_.has_value()) {
+        next = std::min(next.value_or(*watch_due_), *watch_due_);
+    }
     if (!due_order_.empty()) {
         next = std::min(next.value_or(due_order_.begin()->first), due_order_.begin()->first);
     }
@@ -121,14 +128,33 @@
 
 void relay_manager::on(const members_listed& heard)
 {
-    if (heard.members == members_.get()) {
-        return;
-    }
-    members_.set(heard.members);
-    core::log_event(core::log_level::info, "instances_listed", {{"count", members_.get().size()}});
-    budget_.set_instances(members_.get().size());
-    targets_.on_members(members_.get());
+    members_.update(heard.complete, heard.present, heard.gone);
+    const std::vector<member> members = members_.members();
+    core::log_event(core::log_level::info, "instances_listed", {{"count", members.size()}});
+    budget_.set_instances(members.size());
+    targets_.on_members(members);
     tell_directory();
+    if (!watch_due_.has_value()) {
+        watch_due_ = now_ + settings_.watch.period;
+    }
+}
+
+void relay_manager::on(const instance_answered& heard)
+{
+    const auto silent = members_.on_answer(heard.name, heard.lives);
+    if (silent.has_value()) {
+        core::log_event(core::log_level::warning, "instance_withdrawn",
+                        {{"instance", heard.name.str()}, {"entry_version", silent->version}});
+        host_.send(withdraw_member{heard.name, silent->version});
+    }
+}
+
+void relay_manager::watch()
+{
+    watch_due_ = now_ + settings_.watch.period;
+    if (const auto watched = members_.watched(); watched.has_value()) {
+        host_.send(ask_instance{watched->name, watched->ready});
+    }
 }
 
 void relay_manager::on(const stop_requested& /*heard*/)
@@ -195,7 +221,7 @@
 
 void relay_manager::tell_directory()
 {
-    host_.send(directory_changed{life_.is_serving(), members_.get()});
+    host_.send(directory_changed{life_.is_serving(), members_.members()});
 }
 
 void relay_manager::settle(request_number number)
@@ -282,7 +308,7 @@
     core::log_event(core::log_level::info, serving ? "instance_serving" : "instance_leaving",
                     {{"open_requests", requests_.size()}});
     host_.send(announce_member{serving});
-    host_.send(directory_changed{serving, members_.get()});
+    host_.send(directory_changed{serving, members_.members()});
     if (!serving) {
         host_.send(entry_closing{false});
     }
--- a/src/relay/relay_manager.hpp
+++ b/src/relay/relay_manager.hpp
@@ -63,7 +63,8 @@
     entry_life life_;
     core::instant now_;
     route_table_ptr table_;
-    core::cell<std::vector<member>> members_{std::vector<member>{}};
+    member_register members_;
+    std::optional<core::instant> watch_due_;
     std::map<request_number, std::unique_ptr<relayed_request>> requests_;
     std::map<caller_id, request_number> callers_;
     std::map<request_number, core::instant> due_;
@@ -75,6 +76,8 @@
     void on(const configuration_read& heard);
     void on(const targets_listed& heard);
     void on(const members_listed& heard);
+    void on(const instance_answered& heard);
+    void watch();
     void on(const stop_requested& heard);
     void on(const target_answered& heard);
     /// What a target said about an attempt goes to its request, where that still waits for it.
--- a/src/relay/relay_settings.hpp
+++ b/src/relay/relay_settings.hpp
@@ -7,6 +7,7 @@
 #include "core/socket_address.hpp"
 #include "core/time.hpp"
 #include "relay/entry_life.hpp"
+#include "relay/member_register.hpp"
 #include "routing/health_settings.hpp"
 
 namespace cyclamen::relay {
@@ -93,6 +94,7 @@
     const retry_settings retries;
     const placement_settings placement;
     const entry_life_settings life;
+    const watch_settings watch;
 
     auto operator<=>(const relay_settings&) const = default;
 };
--- a/src/relay/relayed_request.cpp
+++ b/src/relay/relayed_request.cpp
@@ -15,6 +15,13 @@
 /// Stands for a timer that the answer limit always precedes.
 constexpr core::duration no_limit = std::chrono::hours{1};
 
+/// @return true where another life answers than the one that is listed; 0 stands for unknown
+bool is_reborn(const target_record& listed, const reported_load& answered)
+{
+    const core::wall_time unknown{};
+    return answered.born != unknown && listed.born != unknown && answered.born != listed.born;
+}
+
 core::duration part_of(core::duration whole, double part)
 {
     return core::from_seconds(core::to_seconds(whole) * part);
@@ -105,10 +112,17 @@
         }
         return;
     }
-    if (asked_.erase(heard.target) == 0) {
+    const auto asked = asked_.find(heard.target);
+    if (asked == asked_.end()) {
         return;
     }
-    if (heard.load.has_value()) {
+    const bool reborn = heard.load.has_value() && is_reborn(asked->second, *heard.load);
+    asked_.erase(asked);
+    if (reborn) {
+        tried_.insert(heard.target);
+        host_.on_misdirected(heard.target);
+    }
+    else if (heard.load.has_value()) {
         loads_.emplace(heard.target, *heard.load);
     }
     else {
@@ -300,7 +314,7 @@
     const placement& placed = placed_->get();
     tried_.insert(placed.target.name);
     lost_domain_ = placed.target.domain;
-    // Only an answer that has begun needs its place in the stream kept by a copy.
+    // An engine holds no copy of what has not begun to run.
     const bool has_copy = attempt_has_events_ && placed.standby.has_value();
     copy_at_ = has_copy ? std::optional{placed.standby->name} : std::nullopt;
     core::log_event(core::log_level::info, event,
--- a/src/relay/reported_load.hpp
+++ b/src/relay/reported_load.hpp
@@ -3,6 +3,8 @@
 #include <compare>
 #include <cstdint>
 
+#include "core/time.hpp"
+
 namespace cyclamen::relay {
 
 /// What an engine says of its own load; some hundred milliseconds old when it arrives.
@@ -12,6 +14,8 @@
     /// Tokens in memory that can't be dropped.
     const std::uint64_t memory_used;
     const std::uint64_t memory_total;
+    /// When the life of the engine that answered began.
+    const core::wall_time born;
 
     auto operator<=>(const reported_load&) const = default;
 };
--- a/src/relay/target_directory.cpp
+++ b/src/relay/target_directory.cpp
@@ -141,7 +141,10 @@
     bool from_copy = false;
     if (query.copy_at.has_value()) {
         known_target* holder = find(*query.copy_at);
-        if (holder != nullptr && holder->health->ready(now) == routing::readiness::ready) {
+        // A copy is worth a try where its holder is in doubt: reading anew takes longer.
+        const bool usable =
+            holder != nullptr && holder->health->ready(now) <= routing::readiness::doubtful;
+        if (usable) {
             chosen = holder;
             from_copy = true;
         }
