Identify engines that started again at their address, also without the store

Standbys were also picked in the domain just lost.

Change: an engine that answers with another birth than the listed one, or with 421, is asked for its models and its name; it is used under the new name where the models are those of one service alone, the one that had the address. A standby is never in the domain that was lost last, nor a target that was tried.

--- a/src/relay/messages.hpp
+++ b/src/relay/messages.hpp
@@ -202,6 +202,14 @@
     auto operator<=>(const ask_target&) const = default;
 };
 
+/// Asks which target answers at an address where another life was listed.
+struct identify_target {
+    const target_record former;
+    const std::string health_path;
+
+    auto operator<=>(const identify_target&) const = default;
+};
+
 /// Asks another instance whether it lives.
 struct ask_instance {
     const core::instance_name name;
@@ -276,6 +284,17 @@
     auto operator<=>(const target_answered&) const = default;
 };
 
+/// A target has told its name.
+struct target_identified {
+    const target_record former;
+    const core::target_name name;
+    const reported_load load;
+    /// Models that it runs.
+    const std::vector<std::string> models;
+
+    auto operator<=>(const target_identified&) const = default;
+};
+
 /// What came of ask_instance.
 struct instance_answered {
     const core::instance_name name;
@@ -337,8 +356,8 @@
 using relay_message =
     std::variant<submission, caller_gone, stream_begun, stream_events, stream_finished,
                  attempt_answered, attempt_rejected, attempt_lost, target_answered,
-                 instance_answered, configuration_read, targets_listed, members_listed,
-                 stop_requested>;
+                 target_identified, instance_answered, configuration_read, targets_listed,
+                 members_listed, stop_requested>;
 
 /// What the task of the callers' side receives.
 using entry_command =
@@ -346,7 +365,8 @@
                  answer_cut, directory_changed, limits_changed, entry_closing>;
 
 /// What the task of the targets' side receives.
-using target_command = std::variant<open_attempt, close_attempt, ask_target, ask_instance>;
+using target_command =
+    std::variant<open_attempt, close_attempt, ask_target, identify_target, ask_instance>;
 
 /// What the task of the platform's store receives.
 using store_command = std::variant<announce_member, withdraw_member>;
--- a/src/relay/relay_manager.cpp
+++ b/src/relay/relay_manager.cpp
@@ -298,9 +298,35 @@
     targets_.on_success(target, now_);
 }
 
-void relay_manager::on_misdirected(const core::target_name& target)
+void relay_manager::on_misdirected(const target_record& listed)
 {
-    targets_.on_misdirected(target);
+    targets_.on_misdirected(listed.name);
+    const service_traits* traits = table_->find_service(listed.service);
+    if (traits != nullptr && traits->engine.has_value()) {
+        host_.send(identify_target{listed, traits->health_path});
+    }
+}
+
+void relay_manager::on(const target_identified& heard)
+{
+    // The address may have gone to another service: only the models tell.
+    const service_traits* service = table_->find_only_service(heard.models);
+    const bool accepted = service != nullptr && service->name == heard.former.service &&
+                          heard.name != heard.former.name && !heard.load.leaving;
+    core::log_event(core::log_level::info, "target_identified",
+                    {{"target", heard.name.str()},
+                     {"former", heard.former.name.str()},
+                     {"address", core::to_string(heard.former.address)},
+                     {"accepted", accepted}});
+    if (accepted) {
+        const target_record& former = heard.former;
+        targets_.on_targets(
+            targets_listed{false,
+                           {target_record{heard.name, former.service, former.address, former.domain,
+                                          former.version, heard.load.born, 0, false}},
+                           {}},
+            now_);
+    }
 }
 
 void relay_manager::announce(bool serving)
--- a/src/relay/relay_manager.hpp
+++ b/src/relay/relay_manager.hpp
@@ -80,6 +80,7 @@
     void watch();
     void on(const stop_requested& heard);
     void on(const target_answered& heard);
+    void on(const target_identified& heard);
     /// What a target said about an attempt goes to its request, where that still waits for it.
     template <class Heard>
     void on(const Heard& heard);
@@ -103,7 +104,7 @@
     void on_closed(const placement& placed, std::uint64_t unread_tokens) override;
     void on_loss(const core::target_name& target) override;
     void on_success(const core::target_name& target) override;
-    void on_misdirected(const core::target_name& target) override;
+    void on_misdirected(const target_record& listed) override;
 
     void announce(bool serving) override;
     void refuse_connections() override;
--- a/src/relay/relayed_request.cpp
+++ b/src/relay/relayed_request.cpp
@@ -81,7 +81,7 @@
 {
     loss_detail_ = core::concat("rejected with ", heard.status);
     if (heard.misdirected) {
-        host_.on_misdirected(placed_->get().target.name);
+        host_.on_misdirected(placed_->get().target);
     }
     else if (!placed_->get().from_copy) {
         ++rejections_;
@@ -116,11 +116,14 @@
     if (asked == asked_.end()) {
         return;
     }
-    const bool reborn = heard.load.has_value() && is_reborn(asked->second, *heard.load);
+    const target_record listed = asked->second;
     asked_.erase(asked);
-    if (reborn) {
+    if (heard.load.has_value() && is_reborn(listed, *heard.load)) {
+        tried_.insert(heard.target);
+        host_.on_misdirected(listed);
+    }
+    else if (heard.load.has_value() && heard.load->leaving) {
         tried_.insert(heard.target);
-        host_.on_misdirected(heard.target);
     }
     else if (heard.load.has_value()) {
         loads_.emplace(heard.target, *heard.load);
--- a/src/relay/relayed_request.hpp
+++ b/src/relay/relayed_request.hpp
@@ -43,7 +43,8 @@
     /// A target lost an attempt or failed.
     virtual void on_loss(const core::target_name& target) = 0;
     virtual void on_success(const core::target_name& target) = 0;
-    virtual void on_misdirected(const core::target_name& target) = 0;
+    /// Another life of a target, or another target, answers at the address.
+    virtual void on_misdirected(const target_record& listed) = 0;
 };
 
 /// What is fixed about a request when it is accepted.
--- a/src/relay/reported_load.hpp
+++ b/src/relay/reported_load.hpp
@@ -16,6 +16,7 @@
     const std::uint64_t memory_total;
     /// When the life of the engine that answered began.
     const core::wall_time born;
+    const bool leaving;
 
     auto operator<=>(const reported_load&) const = default;
 };
--- a/src/relay/route_table.cpp
+++ b/src/relay/route_table.cpp
@@ -1,5 +1,7 @@
 #include "relay/route_table.hpp"
 
+#include <algorithm>
+
 namespace cyclamen::relay {
 
 route_table::route_table(core::revision number, std::vector<route> routes,
@@ -36,6 +38,25 @@
     return found == keys_.end() ? nullptr : &found->second;
 }
 
+const service_traits* route_table::find_only_service(const std::vector<std::string>& models) const
+{
+    const service_traits* only = nullptr;
+    for (const auto& [name, each] : services_) {
+        const auto runs = [&](const std::string& model) {
+            return std::find(each.engine->models.begin(), each.engine->models.end(), model) !=
+                   each.engine->models.end();
+        };
+        if (each.engine.has_value() && !models.empty() &&
+            std::all_of(models.begin(), models.end(), runs)) {
+            if (only != nullptr) {
+                return nullptr;
+            }
+            only = &each;
+        }
+    }
+    return only;
+}
+
 const service_traits* route_table::find_service(const core::service_name& name) const
 {
     const auto found = services_.find(name);
--- a/src/relay/route_table.hpp
+++ b/src/relay/route_table.hpp
@@ -65,6 +65,8 @@
     const std::uint64_t memory_tokens;
     /// True where an engine can copy a request's memory to another one while the request runs.
     const bool copies_memory;
+    /// Models that these engines run.
+    const std::vector<std::string> models;
 
     auto operator<=>(const engine_traits&) const = default;
 };
@@ -72,6 +74,8 @@
 /// A service as the operator describes it.
 struct service_traits {
     const core::service_name name;
+    /// Path of a question that an engine answers with its name.
+    const std::string health_path;
     /// Empty for a plain service.
     const std::optional<engine_traits> engine;
 
@@ -121,6 +125,11 @@
     /// @return the account that holds the key, null where none does
     [[nodiscard]] const core::account_name* find_account(const std::string& key) const;
 
+    /// @return the only service whose engines run all of the models, null where there is none or
+    ///         more than one
+    [[nodiscard]] const service_traits*
+    find_only_service(const std::vector<std::string>& models) const;
+
     /// @return the service, null where it is unknown
     [[nodiscard]] const service_traits* find_service(const core::service_name& name) const;
 
--- a/src/relay/target_directory.cpp
+++ b/src/relay/target_directory.cpp
@@ -158,9 +158,17 @@
     const target_record& target = chosen->record.get();
     std::optional<target_record> standby;
     if (query.wants_standby) {
-        const placement_query second{
-            query.service, query.prompt_tokens, query.prompt_key, {target.name}, {}, {},
-            false,         query.loads};
+        // A copy at a target that was tried, or in the domain that was lost last, is of no use.
+        std::set<core::target_name> unfit = query.tried;
+        unfit.insert(target.name);
+        const placement_query second{query.service,
+                                     query.prompt_tokens,
+                                     query.prompt_key,
+                                     std::move(unfit),
+                                     query.lost_domain,
+                                     {},
+                                     false,
+                                     query.loads};
         const known_target* found = pick(second, &target.domain, now);
         if (found != nullptr && found->record.get().name != target.name) {
             standby.emplace(found->record.get());
--- a/tests/relay/stream_test.cpp
+++ b/tests/relay/stream_test.cpp
@@ -90,7 +90,7 @@
     relay_world world;
     for (int i = 0; i < 3; ++i) {
         world.loads.emplace("t-" + std::to_string(i),
-                            relay::reported_load{i == 1 ? 0U : 2U, 3, 20000, 50000, {}});
+                            relay::reported_load{i == 1 ? 0U : 2U, 3, 20000, 50000, {}, false});
     }
     for (std::uint64_t caller = 1; caller <= 3; ++caller) {
         world.submit(caller);
@@ -104,7 +104,8 @@
 {
     relay_world world;
     world.loads.emplace(
-        "t-0", relay::reported_load{0, 0, 0, 50000, core::wall_time{std::chrono::milliseconds{9}}});
+        "t-0",
+        relay::reported_load{0, 0, 0, 50000, core::wall_time{std::chrono::milliseconds{9}}, false});
     for (std::uint64_t caller = 1; caller <= 6; ++caller) {
         world.submit(caller);
         BOOST_TEST(world.opened().target.str() != "t-0");
@@ -144,3 +145,22 @@
     BOOST_TEST(relay_world::count<relay::answer_cut>(world.to_entries) == 1U);
     BOOST_TEST(relay_world::count<relay::answer_finished>(world.to_entries) == 0U);
 }
+
+BOOST_AUTO_TEST_CASE(no_standby_is_in_the_failure_domain_that_was_lost)
+{
+    relay_world world;
+    world.list_targets(9);
+    for (std::uint64_t caller = 1; caller <= 10; ++caller) {
+        world.submit(caller);
+        const auto domain_of = [](const core::socket_address& address) {
+            return (address.ip.back() - '1') % 3;
+        };
+        const int lost = domain_of(world.opened().address);
+        world.lose();
+        BOOST_TEST(domain_of(world.opened().address) != lost);
+        BOOST_REQUIRE(world.opened().standby.has_value());
+        BOOST_TEST(domain_of(*world.opened().standby) != lost);
+        world.handle(relay::caller_gone{relay::caller_id{caller}});
+        world.pass(2s);
+    }
+}
--- a/tests/relay/target_directory_test.cpp
+++ b/tests/relay/target_directory_test.cpp
@@ -57,6 +57,27 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(
+    an_engine_that_started_again_is_used_under_its_new_name_where_its_models_tell_its_service)
+{
+    for (const bool same_models : {true, false}) {
+        relay_world world;
+        world.list_targets(1);
+        world.submit(1);
+        world.handle(relay::attempt_rejected{world.opened().attempt, 421, true});
+        const auto* asked = relay_world::find_last<relay::identify_target>(world.to_targets);
+        BOOST_REQUIRE(asked != nullptr);
+        world.handle(relay::target_identified{
+            asked->former,
+            core::target_name{"t-new"},
+            relay::reported_load{0, 0, 0, 50000, core::wall_time{std::chrono::milliseconds{5000}},
+                                 false},
+            {same_models ? "m" : "other"}});
+        world.pass(100ms);
+        BOOST_TEST((world.opened().target.str() == "t-new") == same_models);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(two_lost_targets_make_their_failure_domain_the_last_choice)
 {
     relay_world world{relay::request_kind::safe};
--- a/tests/relay/world.hpp
+++ b/tests/relay/world.hpp
@@ -73,10 +73,10 @@
                                .is_public = false,
                                .resumable = streams};
         const auto engine =
-            streams ? std::optional{relay::engine_traits{64, 50000, true}} : std::nullopt;
+            streams ? std::optional{relay::engine_traits{64, 50000, true, {"m"}}} : std::nullopt;
         handle(relay::configuration_read{std::make_shared<const relay::route_table>(
             core::revision{revision}, std::vector{way},
-            std::vector{relay::service_traits{service, engine}},
+            std::vector{relay::service_traits{service, "/healthz", engine}},
             std::vector{relay::account{core::account_name{"account"}, {key}}},
             relay::caller_limits{16384, 1 << 20, 3s, 15s})});
     }
@@ -181,7 +181,7 @@
                 manager_.handle(
                     relay::target_answered{asked->request, asked->target,
                                            load == loads.end()
-                                               ? relay::reported_load{0, 0, 0, 50000, {}}
+                                               ? relay::reported_load{0, 0, 0, 50000, {}, false}
                                                : load->second},
                     clock_.now());
             }
