Log to standard output without blocking, and serve counters and histograms

Change: a sink that drops and counts lines where nobody reads or where one event comes too often; relay_metrics by client account, service and rank behind listen.metrics.

--- a/src/cli/relay_command.cpp
+++ b/src/cli/relay_command.cpp
@@ -10,6 +10,7 @@
 #include "settings/instance_settings.hpp"
 #include "task/channel.hpp"
 #include "task/signals.hpp"
+#include "task/standard_output_log.hpp"
 
 namespace cyclamen::cli {
 
@@ -67,6 +68,7 @@
     if (!library.ok()) {
         return fail(library.status(), exit_usage);
     }
+    task::log_to_standard_output();
     core::configure_log(read->log_level);
     const auto left = std::make_shared<leave_receiver>();
     const auto started = platform::platform_instance::start(*read, *library, left);
--- a/src/core/log.cpp
+++ b/src/core/log.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 
+constexpr const char* line_pattern = "time=%Y-%m-%dT%H:%M:%S.%e level=%l %v";
+
 spdlog::level::level_enum to_spdlog(log_level level)
 {
     switch (level) {
@@ -27,7 +29,7 @@
 {
     static const auto logger = [] {
         auto made = spdlog::stderr_logger_mt("cyclamencourse");
-        made->set_pattern("time=%Y-%m-%dT%H:%M:%S.%e level=%l %v");
+        made->set_pattern(line_pattern);
         return made;
     }();
     return *logger;
@@ -40,6 +42,12 @@
 
 } // namespace
 
+void redirect_log(std::shared_ptr<spdlog::sinks::sink> sink)
+{
+    sink->set_pattern(line_pattern);
+    event_logger().sinks().assign(1, std::move(sink));
+}
+
 void configure_log(log_level lowest)
 {
     event_logger().set_level(to_spdlog(lowest));
--- a/src/core/log.hpp
+++ b/src/core/log.hpp
@@ -1,11 +1,16 @@
 #pragma once
 
 #include <initializer_list>
+#include <memory>
 #include <string>
 #include <string_view>
 
 #include "core/text.hpp"
 
+namespace spdlog::sinks {
+class sink;
+} // namespace spdlog::sinks
+
 namespace cyclamen::core {
 
 /// One key=value pair of a log line.
@@ -32,7 +37,11 @@
 /// @param lowest level below which events are left out
 void configure_log(log_level lowest);
 
-/// Writes one event as one line of key=value pairs to standard error. Any thread may call it.
+/// Replaces where lines go. Called before the tasks of a process start.
+void redirect_log(std::shared_ptr<spdlog::sinks::sink> sink);
+
+/// Writes one event as one line of key=value pairs, to standard error unless redirected. Any thread
+/// may call it.
 /// @param level how much it matters
 /// @param event name of the event, in snake case
 /// @param fields what is known about it; values with spaces are quoted
--- a/src/relay/messages.hpp
+++ b/src/relay/messages.hpp
@@ -86,8 +86,23 @@
     auto operator<=>(const caller_gone&) const = default;
 };
 
+/// Somebody wants the counters and histograms.
+struct metrics_query {
+    const caller_id caller;
+
+    auto operator<=>(const metrics_query&) const = default;
+};
+
 // ---- to the callers' side ----
 
+/// All series in the text form of Prometheus.
+struct metrics_answer {
+    const caller_id caller;
+    const std::string text;
+
+    auto operator<=>(const metrics_answer&) const = default;
+};
+
 /// A stream begins.
 struct answer_begun {
     const caller_id caller;
@@ -354,15 +369,15 @@
 
 /// What the decision task receives.
 using relay_message =
-    std::variant<submission, caller_gone, stream_begun, stream_events, stream_finished,
-                 attempt_answered, attempt_rejected, attempt_lost, target_answered,
+    std::variant<submission, caller_gone, metrics_query, stream_begun, stream_events,
+                 stream_finished, attempt_answered, attempt_rejected, attempt_lost, target_answered,
                  target_identified, instance_answered, configuration_read, targets_listed,
                  members_listed, stop_requested>;
 
 /// What the task of the callers' side receives.
 using entry_command =
-    std::variant<answer_begun, answer_events, answer_finished, answer_whole, answer_refused,
-                 answer_cut, directory_changed, limits_changed, entry_closing>;
+    std::variant<answer_begun, answer_events, answer_finished, answer_whole, metrics_answer,
+                 answer_refused, answer_cut, directory_changed, limits_changed, entry_closing>;
 
 /// What the task of the targets' side receives.
 using target_command =
--- a/src/relay/relay_manager.cpp
+++ b/src/relay/relay_manager.cpp
@@ -6,6 +6,19 @@
 
 namespace cyclamen::relay {
 
+namespace {
+
+/// Stands for the account of routes that need no key.
+const core::account_name no_account{"public"};
+
+metrics::series_labels labels_of(const request_plan& plan)
+{
+    return metrics::series_labels{plan.account.empty() ? no_account : plan.account, plan.service,
+                                  plan.way.rank};
+}
+
+} // namespace
+
 relay_manager::relay_manager(const relay_settings& settings, const relay_charts& charts,
                              std::unique_ptr<target_chooser> chooser, relay_host& host)
     : settings_{settings}, charts_{charts}, host_{host}, targets_{settings_, charts.target_health,
@@ -288,6 +301,26 @@
     targets_.on_closed(placed, unread_tokens);
 }
 
+void relay_manager::on_answered(const request_plan& plan, core::duration waited)
+{
+    metrics_.on_answered(labels_of(plan), waited);
+}
+
+void relay_manager::on_ended(const request_plan& plan, std::string_view outcome)
+{
+    metrics_.on_ended(labels_of(plan), outcome);
+}
+
+void relay_manager::on_attempt_ended(const request_plan& plan, std::string_view event)
+{
+    metrics_.on_attempt(labels_of(plan), event);
+}
+
+void relay_manager::on(const metrics_query& heard)
+{
+    host_.send(metrics_answer{heard.caller, metrics_.text(requests_.size(), targets_.size())});
+}
+
 void relay_manager::on_loss(const core::target_name& target)
 {
     targets_.on_loss(target, now_);
--- a/src/relay/relay_manager.hpp
+++ b/src/relay/relay_manager.hpp
@@ -9,6 +9,7 @@
 #include "relay/entry_life.hpp"
 #include "relay/messages.hpp"
 #include "relay/relay_charts.hpp"
+#include "relay/relay_metrics.hpp"
 #include "relay/relay_settings.hpp"
 #include "relay/relayed_request.hpp"
 #include "relay/retry_budget.hpp"
@@ -60,6 +61,7 @@
     relay_host& host_;
     target_directory targets_;
     retry_budget budget_;
+    relay_metrics metrics_;
     entry_life life_;
     core::instant now_;
     route_table_ptr table_;
@@ -73,6 +75,7 @@
 
     void on(const submission& heard);
     void on(const caller_gone& heard);
+    void on(const metrics_query& heard);
     void on(const configuration_read& heard);
     void on(const targets_listed& heard);
     void on(const members_listed& heard);
@@ -102,6 +105,9 @@
     void on_opened(const placement& placed, std::uint64_t prompt_tokens) override;
     void on_first_event(const core::target_name& target, std::uint64_t prompt_tokens) override;
     void on_closed(const placement& placed, std::uint64_t unread_tokens) override;
+    void on_answered(const request_plan& plan, core::duration waited) override;
+    void on_ended(const request_plan& plan, std::string_view outcome) override;
+    void on_attempt_ended(const request_plan& plan, std::string_view event) override;
     void on_loss(const core::target_name& target) override;
     void on_success(const core::target_name& target) override;
     void on_misdirected(const target_record& listed) override;
--- a/src/relay/relayed_request.cpp
+++ b/src/relay/relayed_request.cpp
@@ -271,7 +271,7 @@
         break;
     case request_action::cut_answer:
         host_.send(answer_cut{plan_.submitted.caller});
-        log_end("cut");
+        end("cut");
         break;
     case request_action::fail_late:
         refuse(core::error_kind::deadline_exceeded, "no answer in time", false, {});
@@ -307,7 +307,7 @@
         note_end("attempt_failed");
         break;
     case request_action::note_caller_left:
-        log_end("caller_left");
+        end("caller_left");
         break;
     }
 }
@@ -315,6 +315,7 @@
 void relayed_request::note_end(std::string_view event)
 {
     const placement& placed = placed_->get();
+    host_.on_attempt_ended(plan_, event);
     tried_.insert(placed.target.name);
     lost_domain_ = placed.target.domain;
     // An engine holds no copy of what has not begun to run.
@@ -427,6 +428,7 @@
 {
     if (!answer_begun_) {
         answer_begun_ = true;
+        host_.on_answered(plan_, now_ - plan_.accepted);
         host_.send(answer_begun{plan_.submitted.caller, head_->get()});
     }
 }
@@ -446,15 +448,16 @@
 {
     begin_answer();
     host_.send(answer_finished{plan_.submitted.caller});
-    log_end("finished");
+    end("finished");
 }
 
 void relayed_request::deliver_answer()
 {
     const attempt_answered& answer = heard_answer_->get();
+    host_.on_answered(plan_, now_ - plan_.accepted);
     host_.on_success(placed_->get().target.name);
     host_.send(answer_whole{plan_.submitted.caller, answer.head, answer.body});
-    log_end("answered");
+    end("answered");
 }
 
 void relayed_request::refuse(core::error_kind kind, std::string_view problem, bool not_run,
@@ -462,11 +465,12 @@
 {
     host_.send(answer_refused{plan_.submitted.caller,
                               core::failure{kind, std::string{problem}, not_run, retry_after}});
-    log_end(not_run ? "refused" : "failed");
+    end(not_run ? "refused" : "failed");
 }
 
-void relayed_request::log_end(std::string_view outcome) const
+void relayed_request::end(std::string_view outcome)
 {
+    host_.on_ended(plan_, outcome);
     core::log_event(core::log_level::info, "request_ended",
                     {{"request", plan_.submitted.content->id},
                      {"outcome", outcome},
--- a/src/relay/relayed_request.hpp
+++ b/src/relay/relayed_request.hpp
@@ -16,6 +16,19 @@
 
 namespace cyclamen::relay {
 
+/// What is fixed about a request when it is accepted.
+struct request_plan {
+    const request_number number;
+    const submission submitted;
+    const route way;
+    const core::service_name service;
+    const std::optional<engine_traits> engine;
+    const core::account_name account;
+    const core::instant accepted;
+
+    bool operator==(const request_plan&) const = default;
+};
+
 /// What a request needs of its surroundings. Called by relayed_request on the decision task.
 class request_host {
   public:
@@ -40,6 +53,13 @@
     virtual void on_first_event(const core::target_name& target, std::uint64_t prompt_tokens) = 0;
     virtual void on_closed(const placement& placed, std::uint64_t unread_tokens) = 0;
 
+    /// The caller got an answer, or the first event of a stream.
+    virtual void on_answered(const request_plan& plan, core::duration waited) = 0;
+    /// The request has ended.
+    virtual void on_ended(const request_plan& plan, std::string_view outcome) = 0;
+    /// An attempt came to nothing.
+    virtual void on_attempt_ended(const request_plan& plan, std::string_view event) = 0;
+
     /// A target lost an attempt or failed.
     virtual void on_loss(const core::target_name& target) = 0;
     virtual void on_success(const core::target_name& target) = 0;
@@ -47,19 +67,6 @@
     virtual void on_misdirected(const target_record& listed) = 0;
 };
 
-/// What is fixed about a request when it is accepted.
-struct request_plan {
-    const request_number number;
-    const submission submitted;
-    const route way;
-    const core::service_name service;
-    const std::optional<engine_traits> engine;
-    const core::account_name account;
-    const core::instant accepted;
-
-    bool operator==(const request_plan&) const = default;
-};
-
 /// One caller's request: runs the chart `relayed_request`.
 class relayed_request final : private chart::actor {
   public:
@@ -132,7 +139,7 @@
     void note_end(std::string_view event);
     void refuse(core::error_kind kind, std::string_view problem, bool not_run,
                 core::duration retry_after);
-    void log_end(std::string_view outcome) const;
+    void end(std::string_view outcome);
 
     [[nodiscard]] placement_query make_query() const;
     void seek_target();
--- a/tests/platform/settings_test.cpp
+++ b/tests/platform/settings_test.cpp
@@ -11,7 +11,7 @@
     return nlohmann::json::parse(R"({
         "name": "i-1", "failure_domain": "z",
         "listen": {"entry": "127.0.0.1:8740", "ready": "127.0.0.1:8749",
-                   "directory": "127.0.0.1:8746"},
+                   "directory": "127.0.0.1:8746", "metrics": "127.0.0.1:8750"},
         "store": {"address": "127.0.0.1:8742"},
         "retries": {"ratio": 0.8, "slack": 300, "window_s": 10},
         "limits": {"leave_s": 8, "contact_ms": 3000, "configuration_ms": 2000,
--- /dev/null
+++ b/tests/task/standard_output_log_test.cpp
@@ -0,0 +1,75 @@
+#include "task/standard_output_log.hpp"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <string>
+
+#include <boost/test/unit_test.hpp>
+
+#include "core/log.hpp"
+#include "core/text.hpp"
+
+using namespace cyclamen;
+
+namespace {
+
+/// Takes the place of standard output while it lives.
+class captured_output {
+  public:
+    captured_output()
+    {
+        BOOST_REQUIRE(::pipe(ends_.data()) == 0);
+        ::fcntl(ends_[0], F_SETFL, O_NONBLOCK);
+        kept_ = ::dup(STDOUT_FILENO);
+        ::dup2(ends_[1], STDOUT_FILENO);
+    }
+    ~captured_output()
+    {
+        ::dup2(kept_, STDOUT_FILENO);
+        ::close(kept_);
+        ::close(ends_[0]);
+        ::close(ends_[1]);
+    }
+    captured_output(const captured_output&) = delete;
+    captured_output& operator=(const captured_output&) = delete;
+
+    std::string read()
+    {
+        std::string text;
+        std::array<char, 4096> part{};
+        for (auto count = ::read(ends_[0], part.data(), part.size()); count > 0;
+             count = ::read(ends_[0], part.data(), part.size())) {
+            text.append(part.data(), static_cast<std::size_t>(count));
+        }
+        return text;
+    }
+
+  private:
+    std::array<int, 2> ends_{};
+    int kept_ = -1;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(a_log_that_nobody_reads_never_blocks_and_one_event_can_not_flood_it)
+{
+    constexpr int lines = 20000;
+    captured_output output;
+    task::log_to_standard_output(task::log_limits{.most_lines_per_event = 50});
+    for (int i = 0; i < lines; ++i) {
+        core::log_event(core::log_level::info, "often", {{"number", i}});
+    }
+    const std::string heard = output.read();
+    BOOST_TEST(heard.find("event=often number=0") != std::string::npos);
+    // The test may run over a few seconds of the clock.
+    BOOST_TEST(std::count(heard.begin(), heard.end(), '\n') < lines / 10);
+    task::log_to_standard_output(task::log_limits{.most_lines_per_event = lines});
+    for (int i = 0; i < lines; ++i) {
+        core::log_event(core::log_level::info, core::concat("unread_", i),
+                        {{"pad", std::string(200, 'x')}});
+    }
+    BOOST_TEST(output.read().size() < 200U * lines);
+}
