Pages for developers and operators, incidents; longer pauses between looks at the store

Change: DEVELOPERS.md, docs/OPERATIONS.md, docs/INCIDENTS.md; request_ended says how much time was left and the last loss.

--- a/src/http/front_task.cpp
+++ b/src/http/front_task.cpp
@@ -96,7 +96,7 @@
         refuse(exchange, core::to_failure(core::make_error(core::error_kind::not_found,
                                                            core::concat("nothing answers ",
                                                                         received.method, " ", path),
-                                                           "see docs/OPERATING.md for the paths"),
+                                                           "see docs/OPERATIONS.md for the paths"),
                                           true));
     }
 }
--- a/src/relay/relayed_request.cpp
+++ b/src/relay/relayed_request.cpp
@@ -479,7 +479,9 @@
                      {"attempts", attempt_.value()},
                      {"runs", runs_},
                      {"last_event", last_event_.value_or("none")},
-                     {"took_ms", core::to_milliseconds(now_ - plan_.accepted)}});
+                     {"took_ms", core::to_milliseconds(now_ - plan_.accepted)},
+                     {"left_ms", core::to_milliseconds(answer_due() - now_)},
+                     {"last_loss", loss_detail_}});
 }
 
 void relayed_request::start_timer(chart::state_timeout timeout)
--- a/tests/platform/settings_test.cpp
+++ b/tests/platform/settings_test.cpp
@@ -14,7 +14,7 @@
                    "directory": "127.0.0.1:8746", "metrics": "127.0.0.1:8750"},
         "store": {"address": "127.0.0.1:8742"},
         "retries": {"ratio": 0.8, "slack": 300, "window_s": 10},
-        "limits": {"leave_s": 8, "contact_ms": 3000, "configuration_ms": 2000,
+        "limits": {"leave_s": 8, "contact_ms": 3000, "target_drain_ms": 2000, "configuration_ms": 2000,
                    "directory_keep_s": 5}})");
 }
 
@@ -24,6 +24,7 @@
 {
     const auto read = platform::decode_settings(good_settings(), "file");
     BOOST_REQUIRE(read.ok());
+    BOOST_TEST((read->store.target_pause == std::chrono::milliseconds{1000}));
     BOOST_TEST((read->store.feed_wait == std::chrono::milliseconds{3500}));
     BOOST_TEST((read->relay.life.drain_limit == std::chrono::milliseconds{7600}));
     BOOST_TEST((read->entry.directory_keep == std::chrono::seconds{3}));
--- a/tests/settings/instance_settings_test.cpp
+++ b/tests/settings/instance_settings_test.cpp
@@ -68,7 +68,7 @@
 
 BOOST_AUTO_TEST_CASE(every_setting_stands_on_the_operating_page)
 {
-    std::ifstream input{CYCLAMENCOURSE_SOURCE_DIR "/docs/OPERATING.md"};
+    std::ifstream input{CYCLAMENCOURSE_SOURCE_DIR "/docs/OPERATIONS.md"};
     std::ostringstream operating_page;
     operating_page << input.rdbuf();
     for (const auto& [name, body] : settings::instance_schema()["properties"].items()) {
