Drop what a closed attempt still brings, and serve sockets and messages before timers

Change: what is heard of an attempt counts only while that attempt is open; a host handles what sockets brought before it runs timers.

--- a/src/relay/relay_manager.cpp
+++ b/src/relay/relay_manager.cpp
@@ -189,7 +189,7 @@
 {
     const request_number number = heard.attempt.request;
     const auto found = requests_.find(number);
-    if (found != requests_.end() && found->second->attempt() == heard.attempt.number) {
+    if (found != requests_.end() && found->second->waits_for(heard.attempt.number)) {
         found->second->on(heard, now_);
         settle(number);
     }
--- a/src/relay/relayed_request.hpp
+++ b/src/relay/relayed_request.hpp
@@ -98,7 +98,12 @@
     [[nodiscard]] bool is_closed() const { return machine_.is_final(); }
 
     [[nodiscard]] const request_plan& plan() const { return plan_; }
-    [[nodiscard]] core::attempt_number attempt() const { return attempt_; }
+
+    /// @return true where that attempt is under way; what is heard of another one is out of date
+    [[nodiscard]] bool waits_for(core::attempt_number attempt) const
+    {
+        return placed_.has_value() && attempt_ == attempt;
+    }
 
   private:
     const request_plan plan_;
--- a/src/task/event_loop.cpp
+++ b/src/task/event_loop.cpp
@@ -101,12 +101,17 @@
     h2o_evloop_run(native_->loop, 0);
 }
 
-void event_loop::run_once(core::duration longest)
+void event_loop::wait(core::duration longest)
 {
     const core::duration wait = wait_for_timers(longest);
     const auto wait_ms = std::chrono::ceil<std::chrono::milliseconds>(wait).count();
     h2o_evloop_run(native_->loop, static_cast<std::int32_t>(wait_ms));
-    if (fire_timers()) {
+}
+
+void event_loop::run_once(core::duration longest)
+{
+    wait(longest);
+    if (run_timers()) {
         complete_writes();
     }
 }
@@ -120,7 +125,7 @@
     return std::clamp(until, core::duration::zero(), longest);
 }
 
-bool event_loop::fire_timers()
+bool event_loop::run_timers()
 {
     bool fired = false;
     const core::instant current = now();
--- a/src/task/event_loop.hpp
+++ b/src/task/event_loop.hpp
@@ -65,7 +65,15 @@
     /// list that it visits only after a wait, so this must come before the next wait.
     void complete_writes();
 
-    /// Waits for sockets, timers or a wake-up and serves them once.
+    /// Waits for sockets, the next timer or a wake-up, and serves the sockets.
+    /// @param longest longest wait
+    void wait(core::duration longest);
+
+    /// Calls what timers are due for.
+    /// @return true where one was
+    bool run_timers();
+
+    /// Does both, for a loop without tasks.
     /// @param longest longest wait
     void run_once(core::duration longest);
 
@@ -78,8 +86,6 @@
     std::map<timer_id, core::instant> due_;
     timer_id last_timer_;
 
-    /// @return true where a timer has fired
-    bool fire_timers();
     [[nodiscard]] core::duration wait_for_timers(core::duration longest) const;
 };
 
--- a/src/task/task_host.cpp
+++ b/src/task/task_host.cpp
@@ -12,6 +12,10 @@
 /// Longest wait for sockets; messages and timers interrupt it.
 constexpr core::duration longest_wait = std::chrono::seconds{10};
 
+/// Rounds of messages between two looks at timers and sockets: tasks that answer each other must not
+/// keep these waiting.
+constexpr int most_passes = 8;
+
 } // namespace
 
 task_host::~task_host()
@@ -53,17 +57,14 @@
     }
     started.set_value(status);
     while (status.ok() && !is_stopping()) {
+        // What sockets have brought is handled before timers are: after a stall both are due, and an
+        // answer that is there must not be taken for one that is late.
         bool handled = false;
-        for (hosted_task* task : tasks_) {
-            handled = task->handle_messages() || handled;
+        for (int pass = 0; pass < most_passes && handle_messages(); ++pass) {
+            handled = true;
         }
-        if (handled) {
-            // This may take in the wake-up for a message that has come meanwhile: look again
-            // before the next wait.
-            loop_.complete_writes();
-            continue;
-        }
-        loop_.run_once(is_stopping() ? core::duration::zero() : longest_wait);
+        const bool fired = loop_.run_timers();
+        loop_.wait(handled || fired || is_stopping() ? core::duration::zero() : longest_wait);
     }
     while (opened > 0) {
         --opened;
@@ -73,6 +74,15 @@
     processor_time_ = thread_processor_time();
 }
 
+bool task_host::handle_messages()
+{
+    bool handled = false;
+    for (hosted_task* task : tasks_) {
+        handled = task->handle_messages() || handled;
+    }
+    return handled;
+}
+
 bool task_host::is_stopping() const
 {
     return std::all_of(tasks_.begin(), tasks_.end(),
--- a/src/task/task_host.hpp
+++ b/src/task/task_host.hpp
@@ -48,6 +48,7 @@
     core::duration processor_time_{};
 
     void run(std::promise<absl::Status> started);
+    bool handle_messages();
     [[nodiscard]] bool is_stopping() const;
 };
 
--- a/tests/relay/stream_test.cpp
+++ b/tests/relay/stream_test.cpp
@@ -164,3 +164,21 @@
         world.pass(2s);
     }
 }
+
+BOOST_AUTO_TEST_CASE(an_event_that_arrives_after_its_attempt_was_closed_moves_no_resume_point)
+{
+    relay_world world;
+    world.submit(1);
+    const relay::attempt_id first = world.opened().attempt;
+    world.targets_answer = false;
+    // Silent before the first event: asked, given up, and other engines are asked for their load.
+    world.pass(1506ms);
+    BOOST_REQUIRE(relay_world::count<relay::close_attempt>(world.to_targets) == 1U);
+    BOOST_REQUIRE(world.opened().attempt == first);
+    world.handle(relay::stream_events{first, "id: 4\n\n", "4"});
+    world.handle(relay::attempt_lost{first, true, "late"});
+    world.targets_answer = true;
+    world.pass(30ms);
+    BOOST_REQUIRE(world.opened().attempt.number.value() == 2U);
+    BOOST_TEST(!world.opened().last_event.has_value());
+}
--- a/tests/task/task_test.cpp
+++ b/tests/task/task_test.cpp
@@ -113,3 +113,45 @@
     BOOST_TEST(!failing.start().ok());
     failing.stop();
 }
+
+namespace {
+
+/// Hears numbers over its mailbox and a timer that is due by the time that the number arrives.
+class stalling_task final : public task::basic_task<int> {
+  public:
+    stalling_task(task::task_host& host, std::shared_ptr<task::channel<int>> heard)
+        : basic_task{"stalling", host}, heard_{std::move(heard)}
+    {
+    }
+
+  private:
+    std::shared_ptr<task::channel<int>> heard_;
+
+    absl::Status on_start() override
+    {
+        // The stall: the message and the timer are both there when the loop goes on.
+        loop().run_after(std::chrono::milliseconds{20}, [this] { std::ignore = heard_->post(2); });
+        loop().run_after(std::chrono::milliseconds{5}, [this] {
+            std::ignore = inbox()->post(1);
+            const core::instant end = now() + std::chrono::milliseconds{40};
+            while (now() < end) {
+            }
+        });
+        return absl::OkStatus();
+    }
+    void on_message(const int& message) override { std::ignore = heard_->post(message); }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(after_a_stall_messages_come_before_timers)
+{
+    const auto heard = std::make_shared<task::channel<int>>();
+    task::task_host host;
+    stalling_task stalling{host, heard};
+    host.add(stalling);
+    BOOST_REQUIRE(host.start().ok());
+    BOOST_TEST(heard->take(longest_wait).value_or(0) == 1);
+    BOOST_TEST(heard->take(longest_wait).value_or(0) == 2);
+    host.stop();
+}
