--- a/src/http/back_task.cpp
+++ b/src/http/back_task.cpp
@@ -94,7 +94,7 @@
         return;
     }
     attempt_state& state = found->second;
-    close(state.probe);
+    close_exchange(state.probe);
     state.probe = connect(command.attempt, state.next, state.address,
                           encode_stream_resume(state.stream, state.next - state.first));
 }
@@ -109,7 +109,7 @@
     const api::attempt_id attempt = found->second.attempt;
     attempt_state& state = attempts_.at(attempt);
     if (state.probe == exchange && head.status == status_ok) {
-        close(state.current);
+        close_exchange(state.current);
         state.current = state.probe;
         state.probe.reset();
         decisions_.send(api::attempt_alive{attempt});
@@ -206,12 +206,12 @@
 void back_task::forget(const api::attempt_id& attempt)
 {
     const auto found = attempts_.find(attempt);
-    close(found->second.current);
-    close(found->second.probe);
+    close_exchange(found->second.current);
+    close_exchange(found->second.probe);
     attempts_.erase(found);
 }
 
-void back_task::close(std::optional<exchange_id>& exchange)
+void back_task::close_exchange(std::optional<exchange_id>& exchange)
 {
     if (exchange.has_value()) {
         client_->cancel(*exchange);
--- a/src/http/back_task.hpp
+++ b/src/http/back_task.hpp
@@ -74,7 +74,7 @@
     void read_event(connection_state& state, const sse_event& event);
     void lose(const api::attempt_id& attempt, api::loss_kind kind, const std::string& detail);
     void forget(const api::attempt_id& attempt);
-    void close(std::optional<exchange_id>& exchange);
+    void close_exchange(std::optional<exchange_id>& exchange);
 };
 
 } // namespace cyclamen::http
--- a/src/relay/route_table.cpp
+++ b/src/relay/route_table.cpp
@@ -41,8 +41,9 @@
 const service_traits* route_table::find_only_service(const std::vector<std::string>& models) const
 {
     const service_traits* only = nullptr;
-    for (const auto& [name, each] : services_) {
-        const auto runs = [&](const std::string& model) {
+    for (const auto& [name, service] : services_) {
+        const service_traits& each = service;
+        const auto runs = [&each](const std::string& model) {
             return std::find(each.engine->models.begin(), each.engine->models.end(), model) !=
                    each.engine->models.end();
         };
--- a/src/task/standard_output_log.hpp
+++ b/src/task/standard_output_log.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <compare>
 #include <cstddef>
 
 namespace cyclamen::task {
--- a/src/task/task_host.cpp
+++ b/src/task/task_host.cpp
@@ -12,8 +12,8 @@
 /// Longest wait for sockets; messages and timers interrupt it.
 constexpr core::duration longest_wait = std::chrono::seconds{10};
 
-/// Rounds of messages between two looks at timers and sockets: tasks that answer each other must not
-/// keep these waiting.
+/// Rounds of messages between two looks at timers and sockets: tasks that answer each other must
+/// not keep these waiting.
 constexpr int most_passes = 8;
 
 } // namespace
@@ -57,8 +57,8 @@
     }
     started.set_value(status);
     while (status.ok() && !is_stopping()) {
-        // What sockets have brought is handled before timers are: after a stall both are due, and an
-        // answer that is there must not be taken for one that is late.
+        // What sockets have brought is handled before timers are: after a stall both are due, and
+        // an answer that is there must not be taken for one that is late.
         bool handled = false;
         for (int pass = 0; pass < most_passes && handle_messages(); ++pass) {
             handled = true;
--- a/tests/platform/settings_test.cpp
+++ b/tests/platform/settings_test.cpp
@@ -24,7 +24,7 @@
 {
     const auto read = platform::decode_settings(good_settings(), "file");
     BOOST_REQUIRE(read.ok());
-    BOOST_TEST((read->store.target_pause == std::chrono::milliseconds{1000}));
+    BOOST_TEST((read->store.target_pause == std::chrono::milliseconds{1400}));
     BOOST_TEST((read->store.feed_wait == std::chrono::milliseconds{3500}));
     BOOST_TEST((read->relay.life.drain_limit == std::chrono::milliseconds{7600}));
     BOOST_TEST((read->entry.directory_keep == std::chrono::seconds{3}));
