Remove what nothing uses, and test the baseline chooser

Cause: the read-through: an unused query of the directory, one set-up of a parser written twice, a baseline without a test.

Change: takes_work is gone, response_reader::restart serves both, a test compares the two choosers.

Behaviour as before.

--- a/src/http/message_reader.cpp
+++ b/src/http/message_reader.cpp
@@ -181,8 +181,14 @@
                    std::move(parser_->headers), std::move(parser_->body)};
 }
 
-response_reader::response_reader(bool without_body) : parser_{std::make_unique<parser>()}
+response_reader::response_reader(bool without_body)
 {
+    restart(without_body);
+}
+
+void response_reader::restart(bool without_body)
+{
+    parser_ = std::make_unique<parser>();
     parser_->eager(true);
     parser_->skip(without_body);
     parser_->header_limit(most_response_head_bytes);
@@ -197,12 +203,7 @@
     const bool interim = parser_->has_head && parser_->status < first_final_status;
     if (interim && !parser_->error) {
         // An interim answer says nothing; the final one follows.
-        const bool without_body = parser_->skip();
-        parser_ = std::make_unique<parser>();
-        parser_->eager(true);
-        parser_->skip(without_body);
-        parser_->header_limit(most_response_head_bytes);
-        parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
+        restart(parser_->skip());
         used += feed(bytes.substr(used));
     }
     return used;
--- a/src/http/message_reader.hpp
+++ b/src/http/message_reader.hpp
@@ -95,6 +95,8 @@
   private:
     class parser;
     std::unique_ptr<parser> parser_;
+
+    void restart(bool without_body);
 };
 
 /// @return the usual text of a status code
--- a/src/relay/target_directory.cpp
+++ b/src/relay/target_directory.cpp
@@ -267,13 +267,6 @@
     return candidates;
 }
 
-bool target_directory::takes_work(const target_record& target) const
-{
-    const auto found = targets_.find(target.name);
-    return found != targets_.end() && found->second.record.get().born == target.born &&
-           !found->second.record.get().leaving;
-}
-
 void target_directory::on_opened(const placement& placed, std::uint64_t prompt_tokens)
 {
     if (known_target* known = find(placed.target.name); known != nullptr) {
--- a/src/relay/target_directory.hpp
+++ b/src/relay/target_directory.hpp
@@ -42,9 +42,6 @@
     [[nodiscard]] std::vector<target_record> survey(const placement_query& query,
                                                     core::instant now);
 
-    /// @return true where a target of that life is listed and takes work
-    [[nodiscard]] bool takes_work(const target_record& target) const;
-
     /// Counts a request that was sent.
     void on_opened(const placement& placed, std::uint64_t prompt_tokens);
     /// Counts that a target has read a prompt.
--- a/tests/relay/target_directory_test.cpp
+++ b/tests/relay/target_directory_test.cpp
@@ -1,3 +1,4 @@
+#include "relay/round_robin_chooser.hpp"
 #include "relay/world.hpp"
 
 using namespace cyclamen;
@@ -109,3 +110,19 @@
     }
     BOOST_TEST(used.size() >= 6U);
 }
+
+BOOST_AUTO_TEST_CASE(the_engine_with_least_work_is_chosen_and_the_baseline_takes_turns)
+{
+    const relay::target_record first = relay_world::target(0);
+    const relay::target_record second = relay_world::target(1);
+    const relay::own_work busy{2, 5000, 0};
+    const relay::own_work idle{};
+    const std::vector<relay::candidate> candidates{{&first, &busy, 0.0, nullptr},
+                                                   {&second, &idle, 0.5, nullptr}};
+    relay::least_work_chooser least{relay::placement_settings{}};
+    relay::round_robin_chooser turns;
+    const core::failure_domain_name home{"a"};
+    BOOST_TEST(least.choose(candidates, home) == 1U);
+    BOOST_TEST(turns.choose(candidates, home) == 0U);
+    BOOST_TEST(turns.choose(candidates, home) == 1U);
+}
