Hand the platform's tables on between instances: few read the store

Cause: every instance followed all three tables of the store by itself. An instance that could not reach the store learnt nothing, and one that started without it served nobody.

Change: src/replica keeps a copy of each table, with removed rows, and hands changes on over a long poll between instances (protobuf over the loop's own HTTP server). The chart news_source decides where the tables come from: in each failure domain the instance with most capacity reads the store; others follow it, and turn to another reader, then to the store, within about half of the time in which a configuration must be in force. A reader that has lost the store turns others away at once and follows another reader meanwhile.

--- a/src/relay/relay_manager.cpp
+++ b/src/relay/relay_manager.cpp
@@ -1,5 +1,7 @@
 #include "relay/relay_manager.hpp"
 
+#include <algorithm>
+
 #include "core/hash.hpp"
 #include "core/log.hpp"
 #include "core/text.hpp"
@@ -142,6 +144,12 @@
 void relay_manager::on(const members_listed& heard)
 {
     members_.update(heard.complete, heard.present, heard.gone);
+    if (life_.is_serving() &&
+        std::find(heard.gone.begin(), heard.gone.end(), settings_.name) != heard.gone.end()) {
+        // Another instance could not reach this one for a while and has withdrawn its entry.
+        core::log_event(core::log_level::warning, "instance_missed", {});
+        host_.send(announce_member{true});
+    }
     const std::vector<member> members = members_.members();
     core::log_event(core::log_level::info, "instances_listed", {{"count", members.size()}});
     budget_.set_instances(members.size());
--- /dev/null
+++ b/src/replica/feed_codec.cpp
@@ -0,0 +1,90 @@
+#include "replica/feed_codec.hpp"
+
+#pragma GCC diagnostic push
+#pragma GCC diagnostic ignored "-Wpedantic"
+#pragma GCC diagnostic ignored "-Wunused-parameter"
+#include "replica/generated/feed.pb.h"
+#pragma GCC diagnostic pop
+
+#include "core/error.hpp"
+
+namespace cyclamen::replica {
+
+namespace {
+
+template <class Message>
+absl::Status parse(std::string_view body, Message& into)
+{
+    if (!into.ParseFromArray(body.data(), static_cast<int>(body.size()))) {
+        return core::make_error(core::error_kind::invalid_argument,
+                                "the body is no message of another instance",
+                                "run the same version on all instances");
+    }
+    return absl::OkStatus();
+}
+
+} // namespace
+
+std::string encode(const feed_query& query)
+{
+    wire::feed_query out;
+    for (const table_state& each : query.known) {
+        wire::table_state& written = *out.add_known();
+        written.set_table(each.table);
+        written.set_version(each.version);
+    }
+    out.set_wait_ms(static_cast<std::uint32_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(query.wait).count()));
+    return out.SerializeAsString();
+}
+
+std::string encode(const feed_answer& answer)
+{
+    wire::feed_answer out;
+    for (const table_news& each : answer.tables) {
+        wire::table_news& written = *out.add_tables();
+        written.set_table(each.table);
+        written.set_version(each.version);
+        written.set_whole(each.whole);
+        for (const row& changed : each.rows) {
+            wire::row& line = *written.add_rows();
+            line.set_key(changed.key);
+            line.set_value(changed.value);
+            line.set_version(changed.version);
+            line.set_removed(changed.removed);
+        }
+    }
+    return out.SerializeAsString();
+}
+
+absl::StatusOr<feed_query> decode_feed_query(std::string_view body)
+{
+    wire::feed_query in;
+    if (const absl::Status parsed = parse(body, in); !parsed.ok()) {
+        return parsed;
+    }
+    std::vector<table_state> known;
+    for (const wire::table_state& each : in.known()) {
+        known.push_back(table_state{each.table(), each.version()});
+    }
+    return feed_query{std::move(known), std::chrono::milliseconds{in.wait_ms()}};
+}
+
+absl::StatusOr<feed_answer> decode_feed_answer(std::string_view body)
+{
+    wire::feed_answer in;
+    if (const absl::Status parsed = parse(body, in); !parsed.ok()) {
+        return parsed;
+    }
+    std::vector<table_news> tables;
+    for (const wire::table_news& each : in.tables()) {
+        std::vector<row> rows;
+        for (const wire::row& line : each.rows()) {
+            rows.push_back(row{line.key(), line.value(), line.version(), line.removed()});
+        }
+        tables.push_back(table_news{each.table(), each.version(), each.whole(), std::move(rows)});
+    }
+    return feed_answer{std::move(tables)};
+}
+
+} // namespace cyclamen::replica
--- /dev/null
+++ b/src/replica/messages.hpp
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <compare>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "replica/feed_peer.hpp"
+#include "replica/row.hpp"
+
+/// @file
+/// Messages between the replica task and those that read the platform's store and use its tables.
+
+namespace cyclamen::replica {
+
+// ---- to the replica task ----
+
+/// The store has answered for a table; without rows where nothing has changed.
+struct store_told {
+    const table_news news;
+
+    auto operator<=>(const store_told&) const = default;
+};
+
+/// A call of the store for a table has failed.
+struct store_failed {
+    const std::string table;
+
+    auto operator<=>(const store_failed&) const = default;
+};
+
+/// The list of instances has changed.
+struct peers_listed {
+    /// True where instances that are not here are gone.
+    const bool complete;
+    const std::vector<feed_peer> present;
+    const std::vector<core::instance_name> gone;
+
+    auto operator<=>(const peers_listed&) const = default;
+};
+
+/// What the replica task receives.
+using replica_message = std::variant<store_told, store_failed, peers_listed>;
+
+// ---- from the replica task ----
+
+/// Has the tables read from the store, or not any more.
+struct follow_tables {
+    const bool wanted;
+    /// What is known of the tables already.
+    const std::vector<table_state> known;
+
+    auto operator<=>(const follow_tables&) const = default;
+};
+
+} // namespace cyclamen::replica
--- /dev/null
+++ b/src/replica/news_source.cpp
@@ -0,0 +1,148 @@
+#include "replica/news_source.hpp"
+
+#include <algorithm>
+
+#include "core/log.hpp"
+
+namespace cyclamen::replica {
+
+const chart::vocabulary& source_vocabulary()
+{
+    static const chart::vocabulary words{
+        {"settled", "store_answered", "store_lost", "reader_answered", "reader_failed"},
+        {"prefers_reader", "knows_reader", "reader_left", "returns_to_store", "reader_demoted"},
+        {"follow_store", "leave_store", "list_readers", "ask_next", "ask_again", "take_news",
+         "note_failure"},
+        {"settle_time", "ask_limit", "feed_limit"}};
+    return words;
+}
+
+news_source::news_source(news_source_settings settings,
+                         std::shared_ptr<const chart::chart> definition, news_source_host& host)
+    : settings_{std::move(settings)}, machine_{std::move(definition)}, host_{host},
+      plan_{source_plan{true, {}}}
+{
+}
+
+void news_source::start(core::instant now)
+{
+    now_ = now;
+    machine_.start(*this);
+}
+
+void news_source::raise(source_event event, core::instant now)
+{
+    now_ = now;
+    machine_.raise(static_cast<chart::symbol>(event), *this);
+}
+
+void news_source::on_time(core::instant now)
+{
+    now_ = now;
+    for (auto event = timers_.take_ended(now); event.has_value(); event = timers_.take_ended(now)) {
+        if (static_cast<source_event>(*event) == source_event::reader_failed) {
+            host_.give_up();
+        }
+        machine_.raise(*event, *this);
+    }
+}
+
+void news_source::set_members(std::vector<feed_peer> members)
+{
+    plan_.set(choose_sources(members, settings_.self, settings_.domain, settings_.choice));
+}
+
+bool news_source::reads_store() const
+{
+    return machine_.state_name() == "store_read";
+}
+
+std::vector<feed_peer> news_source::known_readers() const
+{
+    std::vector<feed_peer> readers = plan_.get().readers;
+    if (readers.empty()) {
+        for (const core::socket_address& each : settings_.seeds) {
+            readers.push_back(feed_peer{{}, {}, each, 0.0});
+        }
+    }
+    return readers;
+}
+
+bool news_source::holds(chart::symbol guard) const
+{
+    const std::vector<feed_peer>& readers = plan_.get().readers;
+    switch (static_cast<source_guard>(guard)) {
+    case source_guard::prefers_reader:
+        return !plan_.get().reads_store;
+    case source_guard::knows_reader:
+        return !known_readers().empty();
+    case source_guard::reader_left:
+        return next_ < std::min(listed_.size(), settings_.most_asked);
+    case source_guard::returns_to_store:
+        return plan_.get().reads_store && now_ - store_left_at_ >= settings_.return_pause;
+    case source_guard::reader_demoted:
+        break;
+    }
+    return !readers.empty() && std::find(readers.begin(), readers.end(), asked()) == readers.end();
+}
+
+void news_source::perform(chart::symbol action)
+{
+    switch (static_cast<source_action>(action)) {
+    case source_action::follow_store:
+        host_.follow_store(true);
+        break;
+    case source_action::leave_store:
+        store_left_at_ = now_;
+        host_.follow_store(false);
+        core::log_event(core::log_level::info, "reader_followed",
+                        {{"reader", asked().name.str()},
+                         {"address", core::to_string(asked().feed)},
+                         {"reads_store", plan_.get().reads_store}});
+        break;
+    case source_action::list_readers:
+        listed_ = known_readers();
+        next_ = 0;
+        break;
+    case source_action::ask_next:
+        ++next_;
+        host_.ask(asked(), core::duration::zero());
+        break;
+    case source_action::ask_again:
+        host_.ask(asked(), settings_.feed_wait);
+        break;
+    case source_action::take_news:
+        host_.take_news();
+        break;
+    case source_action::note_failure:
+        core::log_event(core::log_level::info, "reader_lost",
+                        {{"reader", asked().name.str()},
+                         {"address", core::to_string(asked().feed)},
+                         {"asked", next_},
+                         {"listed", listed_.size()}});
+        break;
+    }
+}
+
+void news_source::start_timer(chart::state_timeout timeout)
+{
+    core::duration length = settings_.answer_limit;
+    switch (static_cast<source_timeout>(timeout.timeout)) {
+    case source_timeout::settle_time:
+        length = settings_.settle_time;
+        break;
+    case source_timeout::ask_limit:
+        break;
+    case source_timeout::feed_limit:
+        length += settings_.feed_wait;
+        break;
+    }
+    timers_.start(timeout, now_ + length);
+}
+
+void news_source::stop_timer(chart::state_timeout timeout)
+{
+    timers_.stop(timeout);
+}
+
+} // namespace cyclamen::replica
--- /dev/null
+++ b/src/replica/news_source.hpp
@@ -0,0 +1,134 @@
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "chart/machine.hpp"
+#include "chart/timer_set.hpp"
+#include "core/cell.hpp"
+#include "core/time.hpp"
+#include "replica/source_choice.hpp"
+
+namespace cyclamen::replica {
+
+/// Events of the chart `news_source`, in the order of source_vocabulary().
+enum class source_event : chart::symbol {
+    settled,
+    store_answered,
+    store_lost,
+    reader_answered,
+    reader_failed,
+};
+
+/// Guards of the chart `news_source`.
+enum class source_guard : chart::symbol {
+    prefers_reader,
+    knows_reader,
+    reader_left,
+    returns_to_store,
+    reader_demoted,
+};
+
+/// Actions of the chart `news_source`.
+enum class source_action : chart::symbol {
+    follow_store,
+    leave_store,
+    list_readers,
+    ask_next,
+    ask_again,
+    take_news,
+    note_failure,
+};
+
+/// Timeouts of the chart `news_source`.
+enum class source_timeout : chart::symbol { settle_time, ask_limit, feed_limit };
+
+/// @return the names that the code binds to the chart `news_source`
+[[nodiscard]] const chart::vocabulary& source_vocabulary();
+
+/// Limits of following other instances.
+struct news_source_settings {
+    const core::instance_name self;
+    const core::failure_domain_name domain;
+    /// How long a reader may wait for a change before it answers.
+    const core::duration feed_wait = std::chrono::milliseconds{500};
+    /// Longest time that an answer of a reader takes beyond that.
+    const core::duration answer_limit = std::chrono::milliseconds{400};
+    /// Time after which an instance that reads the store looks for a reader: the members have
+    /// announced themselves by then.
+    const core::duration settle_time = std::chrono::seconds{2};
+    /// Time after which a reader that has lost the store tries it again.
+    const core::duration return_pause = std::chrono::seconds{3};
+    /// Readers that are asked in a row before the store is.
+    const std::size_t most_asked = 3;
+    const source_choice_settings choice;
+    /// Where instances may be found before any is known.
+    const std::vector<core::socket_address> seeds;
+
+    auto operator<=>(const news_source_settings&) const = default;
+};
+
+/// Carries out what a source decides. Called on the replica task.
+class news_source_host {
+  public:
+    virtual ~news_source_host() = default;
+
+    /// Has the tables read from the store, or not any more.
+    virtual void follow_store(bool wanted) = 0;
+
+    /// Asks a reader, in place of the question that is under way.
+    /// @param wait how long it may wait for a change
+    virtual void ask(const feed_peer& reader, core::duration wait) = 0;
+
+    /// The answer that is being handled is good.
+    virtual void take_news() = 0;
+
+    /// The question under way is not waited for any longer.
+    virtual void give_up() = 0;
+};
+
+/// Decides where an instance has the tables from: runs the chart `news_source`. Few instances read
+/// the store and hand on, so that calls of the store don't grow with the fleet, and an instance
+/// that can't reach the store has the tables from one that can.
+class news_source final : private chart::actor {
+  public:
+    /// @param settings limits
+    /// @param definition the chart
+    /// @param host carries decisions out; outlives this object
+    news_source(news_source_settings settings, std::shared_ptr<const chart::chart> definition,
+                news_source_host& host);
+
+    void start(core::instant now);
+    void raise(source_event event, core::instant now);
+    void on_time(core::instant now);
+    [[nodiscard]] std::optional<core::instant> next_due() const { return timers_.next_due(); }
+
+    /// Takes in which instances there are.
+    void set_members(std::vector<feed_peer> members);
+
+    /// @return true where the store is read, and others may have the tables from here
+    [[nodiscard]] bool reads_store() const;
+
+  private:
+    const news_source_settings settings_;
+    chart::machine machine_;
+    news_source_host& host_;
+    chart::timer_set timers_;
+    core::instant now_;
+    core::instant store_left_at_;
+    core::cell<source_plan> plan_;
+    /// Readers to ask, of which those before next_ were asked.
+    std::vector<feed_peer> listed_;
+    std::size_t next_ = 0;
+
+    [[nodiscard]] std::vector<feed_peer> known_readers() const;
+    [[nodiscard]] const feed_peer& asked() const { return listed_.at(next_ - 1); }
+
+    [[nodiscard]] bool holds(chart::symbol guard) const override;
+    void perform(chart::symbol action) override;
+    void start_timer(chart::state_timeout timeout) override;
+    void stop_timer(chart::state_timeout timeout) override;
+};
+
+} // namespace cyclamen::replica
--- /dev/null
+++ b/src/replica/replica_task.cpp
@@ -0,0 +1,289 @@
+#include "replica/replica_task.hpp"
+
+#include <algorithm>
+
+#include "core/log.hpp"
+
+namespace cyclamen::replica {
+
+namespace {
+
+constexpr int status_ok = 200;
+constexpr int status_bad_request = 400;
+constexpr int status_unavailable = 503;
+constexpr std::string_view feed_path = "/feed";
+
+/// Longest time that a question may wait here, whatever it asks for.
+constexpr core::duration longest_wait = std::chrono::seconds{10};
+
+} // namespace
+
+replica_task::replica_task(task::task_host& host, replica_settings settings,
+                           std::shared_ptr<const chart::chart> source, news_listener& listener)
+    : basic_task{"replica", host}, settings_{std::move(settings)}, listener_{listener},
+      source_{settings_.source, std::move(source), static_cast<news_source_host&>(*this)}
+{
+    for (const std::string& each : settings_.tables) {
+        copies_.emplace(each, table_copy{each});
+    }
+}
+
+replica_task::~replica_task() = default;
+
+void replica_task::connect(task::outbox_ptr<replica::follow_tables> store)
+{
+    store_.emplace(std::move(store), loop());
+}
+
+absl::Status replica_task::on_start()
+{
+    auto server = http::server::listen(loop(), settings_.feed, http::server_settings{},
+                                       static_cast<http::server_handler&>(*this));
+    if (!server.ok()) {
+        return server.status();
+    }
+    server_ = *std::move(server);
+    const core::duration limit = settings_.source.answer_limit;
+    client_ = std::make_unique<http::client>(loop(), static_cast<http::client_listener&>(*this),
+                                             http::client_settings{limit, limit});
+    source_.start(now());
+    arm_timer();
+    return absl::OkStatus();
+}
+
+void replica_task::on_message(const replica_message& message)
+{
+    std::visit([this](const auto& each) { handle(each); }, message);
+    serve_waiting();
+    arm_timer();
+}
+
+void replica_task::on_stop()
+{
+    loop().cancel(timer_);
+    server_.reset();
+    client_.reset();
+}
+
+void replica_task::handle(const store_told& heard)
+{
+    apply(heard.news);
+    answered_.insert(heard.news.table);
+    if (answered_.size() == copies_.size()) {
+        source_.raise(source_event::store_answered, now());
+    }
+}
+
+void replica_task::handle(const store_failed& heard)
+{
+    answered_.erase(heard.table);
+    source_.raise(source_event::store_lost, now());
+}
+
+void replica_task::handle(const peers_listed& heard)
+{
+    if (heard.complete) {
+        peers_.clear();
+    }
+    for (const core::instance_name& each : heard.gone) {
+        peers_.erase(each);
+    }
+    for (const feed_peer& each : heard.present) {
+        peers_.erase(each.name);
+        peers_.emplace(each.name, each);
+    }
+    std::vector<feed_peer> members;
+    for (const auto& [name, each] : peers_) {
+        members.push_back(each);
+    }
+    source_.set_members(std::move(members));
+}
+
+void replica_task::on_request(http::exchange_id exchange, const http::request& received)
+{
+    const auto query = decode_feed_query(received.body);
+    if (received.path != feed_path || !query.ok()) {
+        server_->respond(exchange, http::response_head{status_bad_request, {}}, "");
+        return;
+    }
+    if (!can_serve() || waiting_.size() >= settings_.most_waiting) {
+        turn_away(exchange);
+    }
+    else if (query->wait == core::duration::zero() || has_news_for(*query)) {
+        answer(exchange, *query);
+    }
+    else {
+        waiting_.emplace(exchange,
+                         waiting_query{*query, now() + std::min(query->wait, longest_wait)});
+        arm_timer();
+    }
+}
+
+void replica_task::on_gone(http::exchange_id exchange)
+{
+    waiting_.erase(exchange);
+}
+
+void replica_task::on_head(http::exchange_id exchange, const http::response_head& head)
+{
+    if (question_ != nullptr && question_->exchange == exchange) {
+        question_->status = head.status;
+    }
+}
+
+void replica_task::on_body(http::exchange_id exchange, std::string_view bytes)
+{
+    if (question_ != nullptr && question_->exchange == exchange) {
+        question_->body += bytes;
+    }
+}
+
+void replica_task::on_end(http::exchange_id exchange, bool /*sent*/, const absl::Status& status)
+{
+    if (question_ == nullptr || question_->exchange != exchange) {
+        return;
+    }
+    const std::unique_ptr<open_question> ended = std::move(question_);
+    auto decoded = status.ok() && ended->status == status_ok
+                       ? decode_feed_answer(ended->body)
+                       : absl::StatusOr<feed_answer>{absl::UnavailableError("no answer")};
+    if (decoded.ok()) {
+        answer_ = std::make_unique<const feed_answer>(*std::move(decoded));
+    }
+    else {
+        core::log_event(core::log_level::debug, "reader_refused",
+                        {{"status", ended->status}, {"reason", std::string{status.message()}}});
+    }
+    source_.raise(decoded.ok() ? source_event::reader_answered : source_event::reader_failed,
+                  now());
+    serve_waiting();
+    arm_timer();
+}
+
+void replica_task::follow_store(bool wanted)
+{
+    if (!wanted) {
+        answered_.clear();
+    }
+    store_->send(replica::follow_tables{wanted, known()});
+}
+
+void replica_task::ask(const feed_peer& reader, core::duration wait)
+{
+    give_up();
+    last_exchange_ = last_exchange_.next();
+    question_ = std::make_unique<open_question>(open_question{last_exchange_});
+    client_->start(last_exchange_, reader.feed,
+                   http::request{"POST",
+                                 std::string{feed_path},
+                                 {{"content-type", "application/x-protobuf"}},
+                                 encode(feed_query{known(), wait})});
+}
+
+void replica_task::take_news()
+{
+    const std::unique_ptr<const feed_answer> taken = std::move(answer_);
+    for (const table_news& each : taken->tables) {
+        apply(each);
+    }
+}
+
+void replica_task::give_up()
+{
+    if (question_ != nullptr) {
+        client_->cancel(question_->exchange);
+        question_.reset();
+    }
+}
+
+void replica_task::apply(const table_news& news)
+{
+    const auto copy = copies_.find(news.table);
+    if (copy == copies_.end()) {
+        return;
+    }
+    if (const auto changed = copy->second.apply(news); changed.has_value()) {
+        listener_.on_news(*changed);
+    }
+}
+
+std::vector<table_state> replica_task::known() const
+{
+    std::vector<table_state> states;
+    for (const auto& [name, copy] : copies_) {
+        states.push_back(table_state{name, copy.version()});
+    }
+    return states;
+}
+
+bool replica_task::can_serve() const
+{
+    return source_.reads_store();
+}
+
+bool replica_task::has_news_for(const feed_query& query) const
+{
+    return std::any_of(query.known.begin(), query.known.end(), [&](const table_state& each) {
+        const auto copy = copies_.find(each.table);
+        return copy != copies_.end() && copy->second.has_changes_since(each.version);
+    });
+}
+
+void replica_task::answer(http::exchange_id exchange, const feed_query& query)
+{
+    std::vector<table_news> news;
+    for (const table_state& each : query.known) {
+        if (const auto copy = copies_.find(each.table); copy != copies_.end()) {
+            news.push_back(copy->second.changes_since(each.version));
+        }
+    }
+    server_->respond(exchange,
+                     http::response_head{status_ok, {{"content-type", "application/x-protobuf"}}},
+                     encode(feed_answer{std::move(news)}));
+}
+
+void replica_task::turn_away(http::exchange_id exchange)
+{
+    server_->respond(exchange, http::response_head{status_unavailable, {}}, "");
+}
+
+void replica_task::serve_waiting()
+{
+    const bool serves = can_serve();
+    for (auto each = waiting_.begin(); each != waiting_.end();) {
+        const waiting_query& asked = each->second;
+        const bool due = asked.due <= now() || has_news_for(asked.query);
+        if (serves && !due) {
+            ++each;
+            continue;
+        }
+        if (serves) {
+            answer(each->first, asked.query);
+        }
+        else {
+            turn_away(each->first);
+        }
+        each = waiting_.erase(each);
+    }
+}
+
+void replica_task::arm_timer()
+{
+    std::optional<core::instant> due = source_.next_due();
+    for (const auto& [exchange, asked] : waiting_) {
+        due = std::min(due.value_or(asked.due), asked.due);
+    }
+    if (!due.has_value() || (timer_due_.has_value() && *timer_due_ <= *due)) {
+        return;
+    }
+    loop().cancel(timer_);
+    timer_due_ = due;
+    timer_ = loop().run_at(*due, [this] {
+        timer_due_.reset();
+        source_.on_time(now());
+        serve_waiting();
+        arm_timer();
+    });
+}
+
+} // namespace cyclamen::replica
--- /dev/null
+++ b/src/replica/replica_task.hpp
@@ -0,0 +1,114 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "http/client.hpp"
+#include "http/server.hpp"
+#include "replica/feed_codec.hpp"
+#include "replica/messages.hpp"
+#include "replica/news_listener.hpp"
+#include "replica/news_source.hpp"
+#include "replica/table_copy.hpp"
+#include "task/basic_task.hpp"
+#include "task/ordered_sender.hpp"
+
+namespace cyclamen::replica {
+
+/// How tables are handed on.
+struct replica_settings {
+    /// Tables of the store that are followed.
+    const std::vector<std::string> tables;
+    /// Where other instances ask.
+    const core::socket_address feed;
+    const news_source_settings source;
+    /// Questions of other instances that may wait here at once; more are turned away.
+    const std::size_t most_waiting = 256;
+
+    auto operator<=>(const replica_settings&) const = default;
+};
+
+/// Keeps a copy of the platform's tables, and owns the sockets by which instances hand them on to
+/// each other.
+class replica_task final : public task::basic_task<replica_message>,
+                           private http::server_handler,
+                           private http::client_listener,
+                           private news_source_host {
+  public:
+    /// @param host thread that the task runs on
+    /// @param settings how tables are handed on
+    /// @param source the chart `news_source`
+    /// @param listener uses the tables; outlives the task
+    replica_task(task::task_host& host, replica_settings settings,
+                 std::shared_ptr<const chart::chart> source, news_listener& listener);
+    ~replica_task() override;
+
+    /// Says who reads the store. Called before the host starts.
+    void connect(task::outbox_ptr<follow_tables> store);
+
+  private:
+    /// Another instance's question that waits for a change.
+    struct waiting_query {
+        const feed_query query;
+        const core::instant due;
+    };
+
+    /// The question to a reader that is under way.
+    struct open_question {
+        const http::exchange_id exchange;
+        int status = 0;
+        std::string body;
+    };
+
+    const replica_settings settings_;
+    news_listener& listener_;
+    news_source source_;
+    std::optional<task::ordered_sender<follow_tables>> store_;
+    std::unique_ptr<http::server> server_;
+    std::unique_ptr<http::client> client_;
+    std::map<std::string, table_copy> copies_;
+    std::map<core::instance_name, feed_peer> peers_;
+    /// Tables that the store has answered for since it was lost or left.
+    std::set<std::string> answered_;
+    std::map<http::exchange_id, waiting_query> waiting_;
+    std::unique_ptr<open_question> question_;
+    std::unique_ptr<const feed_answer> answer_;
+    http::exchange_id last_exchange_;
+    task::timer_id timer_;
+    std::optional<core::instant> timer_due_;
+
+    absl::Status on_start() override;
+    void on_message(const replica_message& message) override;
+    void on_stop() override;
+    void handle(const store_told& heard);
+    void handle(const store_failed& heard);
+    void handle(const peers_listed& heard);
+
+    void on_request(http::exchange_id exchange, const http::request& received) override;
+    void on_gone(http::exchange_id exchange) override;
+
+    void on_head(http::exchange_id exchange, const http::response_head& head) override;
+    void on_body(http::exchange_id exchange, std::string_view bytes) override;
+    void on_end(http::exchange_id exchange, bool sent, const absl::Status& status) override;
+
+    void follow_store(bool wanted) override;
+    void ask(const feed_peer& reader, core::duration wait) override;
+    void take_news() override;
+    void give_up() override;
+
+    void apply(const table_news& news);
+    [[nodiscard]] std::vector<table_state> known() const;
+    [[nodiscard]] bool can_serve() const;
+    [[nodiscard]] bool has_news_for(const feed_query& query) const;
+    void answer(http::exchange_id exchange, const feed_query& query);
+    void turn_away(http::exchange_id exchange);
+    /// Answers the questions that need not wait any longer.
+    void serve_waiting();
+    void arm_timer();
+};
+
+} // namespace cyclamen::replica
--- /dev/null
+++ b/tests/replica/feed_codec_test.cpp
@@ -0,0 +1,21 @@
+#include "replica/feed_codec.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace cyclamen;
+
+BOOST_AUTO_TEST_CASE(a_query_and_an_answer_survive_the_wire)
+{
+    const replica::feed_query query{{{"op", 7}, {"servers", 0}}, std::chrono::milliseconds{500}};
+    BOOST_TEST((replica::decode_feed_query(replica::encode(query)).value() == query));
+    const replica::feed_answer answer{
+        {{"op", 9, true, {{"config", std::string{"\0x", 2}, 9, false}}},
+         {"servers", 9, false, {{"s", "", 8, true}}}}};
+    BOOST_TEST((replica::decode_feed_answer(replica::encode(answer)).value() == answer));
+}
+
+BOOST_AUTO_TEST_CASE(a_body_that_is_no_message_is_refused)
+{
+    BOOST_TEST(!replica::decode_feed_query("\xff\xff\xff").ok());
+    BOOST_TEST(!replica::decode_feed_answer("{\"rows\":[]}").ok());
+}
