Probe a store that is down with one table, and ask readers before reading all

Change: the chart news_source follows only the first table until the store answers; an instance that is no reader then asks the readers first. Two searches for a reader lie at least two seconds apart. An instance looks for a reader one second after its start instead of two.

--- a/src/replica/messages.hpp
+++ b/src/replica/messages.hpp
@@ -44,11 +44,10 @@
 
 // ---- from the replica task ----
 
-/// Has the tables read from the store, or not any more.
+/// Has tables read from the store. Those that are not here are not read any more.
 struct follow_tables {
-    const bool wanted;
-    /// What is known of the tables already.
-    const std::vector<table_state> known;
+    /// With what is known of each already.
+    const std::vector<table_state> wanted;
 
     auto operator<=>(const follow_tables&) const = default;
 };
--- a/src/replica/news_source.cpp
+++ b/src/replica/news_source.cpp
@@ -8,12 +8,14 @@
 
 const chart::vocabulary& source_vocabulary()
 {
-    static const chart::vocabulary words{
-        {"settled", "store_answered", "store_lost", "reader_answered", "reader_failed"},
-        {"prefers_reader", "knows_reader", "reader_left", "returns_to_store", "reader_demoted"},
-        {"follow_store", "leave_store", "list_readers", "ask_next", "ask_again", "take_news",
-         "note_failure"},
-        {"settle_time", "ask_limit", "feed_limit"}};
+    static const chart::vocabulary words{{"settled", "store_answered", "tables_complete",
+                                          "store_lost", "reader_answered", "reader_failed"},
+                                         {"may_ask_reader", "may_ask_anyone", "store_answers",
+                                          "reader_left", "returns_to_store", "reader_demoted"},
+                                         {"probe_store", "follow_store", "leave_store",
+                                          "list_readers", "ask_next", "ask_again", "take_news",
+                                          "note_failure"},
+                                         {"settle_time", "ask_limit", "feed_limit"}};
     return words;
 }
 
@@ -68,14 +70,21 @@
     return readers;
 }
 
+bool news_source::may_search() const
+{
+    return !searched_at_.has_value() || now_ - *searched_at_ >= settings_.search_pause;
+}
+
 bool news_source::holds(chart::symbol guard) const
 {
     const std::vector<feed_peer>& readers = plan_.get().readers;
     switch (static_cast<source_guard>(guard)) {
-    case source_guard::prefers_reader:
-        return !plan_.get().reads_store;
-    case source_guard::knows_reader:
-        return !known_readers().empty();
+    case source_guard::may_ask_reader:
+        return !plan_.get().reads_store && may_search();
+    case source_guard::may_ask_anyone:
+        return !known_readers().empty() && may_search();
+    case source_guard::store_answers:
+        return host_.store_answers();
     case source_guard::reader_left:
         return next_ < std::min(listed_.size(), settings_.most_asked);
     case source_guard::returns_to_store:
@@ -89,12 +98,15 @@
 void news_source::perform(chart::symbol action)
 {
     switch (static_cast<source_action>(action)) {
+    case source_action::probe_store:
+        host_.follow_store(store_scope::first_table);
+        break;
     case source_action::follow_store:
-        host_.follow_store(true);
+        host_.follow_store(store_scope::all_tables);
         break;
     case source_action::leave_store:
         store_left_at_ = now_;
-        host_.follow_store(false);
+        host_.follow_store(store_scope::nothing);
         core::log_event(core::log_level::info, "reader_followed",
                         {{"reader", asked().name.str()},
                          {"address", core::to_string(asked().feed)},
@@ -103,6 +115,7 @@
     case source_action::list_readers:
         listed_ = known_readers();
         next_ = 0;
+        searched_at_ = now_;
         break;
     case source_action::ask_next:
         ++next_;
--- a/src/replica/news_source.hpp
+++ b/src/replica/news_source.hpp
@@ -16,6 +16,7 @@
 enum class source_event : chart::symbol {
     settled,
     store_answered,
+    tables_complete,
     store_lost,
     reader_answered,
     reader_failed,
@@ -23,8 +24,9 @@
 
 /// Guards of the chart `news_source`.
 enum class source_guard : chart::symbol {
-    prefers_reader,
-    knows_reader,
+    may_ask_reader,
+    may_ask_anyone,
+    store_answers,
     reader_left,
     returns_to_store,
     reader_demoted,
@@ -32,6 +34,7 @@
 
 /// Actions of the chart `news_source`.
 enum class source_action : chart::symbol {
+    probe_store,
     follow_store,
     leave_store,
     list_readers,
@@ -57,7 +60,9 @@
     const core::duration answer_limit = std::chrono::milliseconds{400};
     /// Time after which an instance that reads the store looks for a reader: the members have
     /// announced themselves by then.
-    const core::duration settle_time = std::chrono::seconds{2};
+    const core::duration settle_time = std::chrono::seconds{1};
+    /// Time between two searches for a reader: when the store is down none can serve.
+    const core::duration search_pause = std::chrono::seconds{2};
     /// Time after which a reader that has lost the store tries it again.
     const core::duration return_pause = std::chrono::seconds{3};
     /// Readers that are asked in a row before the store is.
@@ -69,13 +74,19 @@
     auto operator<=>(const news_source_settings&) const = default;
 };
 
+/// What of the store is followed.
+enum class store_scope { nothing, first_table, all_tables };
+
 /// Carries out what a source decides. Called on the replica task.
 class news_source_host {
   public:
     virtual ~news_source_host() = default;
 
-    /// Has the tables read from the store, or not any more.
-    virtual void follow_store(bool wanted) = 0;
+    /// Has tables read from the store, and others not any more.
+    virtual void follow_store(store_scope scope) = 0;
+
+    /// @return true where the first table's last call was answered
+    [[nodiscard]] virtual bool store_answers() const = 0;
 
     /// Asks a reader, in place of the question that is under way.
     /// @param wait how long it may wait for a change
@@ -117,12 +128,14 @@
     chart::timer_set timers_;
     core::instant now_;
     core::instant store_left_at_;
+    std::optional<core::instant> searched_at_;
     core::cell<source_plan> plan_;
     /// Readers to ask, of which those before next_ were asked.
     std::vector<feed_peer> listed_;
     std::size_t next_ = 0;
 
     [[nodiscard]] std::vector<feed_peer> known_readers() const;
+    [[nodiscard]] bool may_search() const;
     [[nodiscard]] const feed_peer& asked() const { return listed_.at(next_ - 1); }
 
     [[nodiscard]] bool holds(chart::symbol guard) const override;
--- a/src/replica/replica_task.cpp
+++ b/src/replica/replica_task.cpp
@@ -69,8 +69,9 @@
 {
     apply(heard.news);
     answered_.insert(heard.news.table);
+    source_.raise(source_event::store_answered, now());
     if (answered_.size() == copies_.size()) {
-        source_.raise(source_event::store_answered, now());
+        source_.raise(source_event::tables_complete, now());
     }
 }
 
@@ -160,12 +161,26 @@
     arm_timer();
 }
 
-void replica_task::follow_store(bool wanted)
+void replica_task::follow_store(store_scope scope)
 {
-    if (!wanted) {
+    std::vector<table_state> wanted;
+    if (scope == store_scope::nothing) {
         answered_.clear();
     }
-    store_->send(replica::follow_tables{wanted, known()});
+    else {
+        const std::size_t count =
+            scope == store_scope::all_tables ? settings_.tables.size() : std::size_t{1};
+        for (std::size_t i = 0; i < count; ++i) {
+            const std::string& table = settings_.tables[i];
+            wanted.push_back(table_state{table, copies_.at(table).version()});
+        }
+    }
+    store_->send(follow_tables{std::move(wanted)});
+}
+
+bool replica_task::store_answers() const
+{
+    return answered_.contains(settings_.tables.front());
 }
 
 void replica_task::ask(const feed_peer& reader, core::duration wait)
--- a/src/replica/replica_task.hpp
+++ b/src/replica/replica_task.hpp
@@ -21,7 +21,7 @@
 
 /// How tables are handed on.
 struct replica_settings {
-    /// Tables of the store that are followed.
+    /// Tables of the store that are followed; the first one shows whether it answers.
     const std::vector<std::string> tables;
     /// Where other instances ask.
     const core::socket_address feed;
@@ -95,7 +95,8 @@
     void on_body(http::exchange_id exchange, std::string_view bytes) override;
     void on_end(http::exchange_id exchange, bool sent, const absl::Status& status) override;
 
-    void follow_store(bool wanted) override;
+    void follow_store(store_scope scope) override;
+    [[nodiscard]] bool store_answers() const override;
     void ask(const feed_peer& reader, core::duration wait) override;
     void take_news() override;
     void give_up() override;
