Copy a stream to another standby when its standby is gone

Cause: a stream names its standby once. Runners crash by failure domain every 6.5 s and a stream lasts 11 s, so a third of the streams lose their standby while they run, and most of those that then lose their target read the whole prompt anew, later than the pause goal.

Change: chart run_protection, one for each running stream. When the standby is no longer listed, leaves or starts anew, another one in a third failure domain is chosen and the target is told to copy the run's memory there; the copy is renewed at 0.6 of the time that engines keep it (both from the configuration). A run goes on from a copy named by value: run_copy replaces the flag from_copy of open_attempt.

Tests: six in stream_test (standby gone, leaving, renewal, failed copy, nothing to copy, name of the mirror), codec.

--- a/src/relay/messages.hpp
+++ b/src/relay/messages.hpp
@@ -15,6 +15,7 @@
 #include "relay/member_register.hpp"
 #include "relay/reported_load.hpp"
 #include "relay/route_table.hpp"
+#include "relay/run_copy.hpp"
 #include "relay/target.hpp"
 
 /// @file
@@ -195,8 +196,8 @@
     const std::optional<std::string> last_event;
     /// Target that gets a copy of the request's memory while it runs.
     const std::optional<core::socket_address> standby;
-    /// True where the target holds such a copy and goes on from it.
-    const bool from_copy;
+    /// Copy of the memory that the target goes on from.
+    const std::optional<run_copy> copy;
 
     bool operator==(const open_attempt&) const = default;
 };
@@ -208,6 +209,17 @@
     auto operator<=>(const close_attempt&) const = default;
 };
 
+/// Has the target that runs an attempt copy its memory to a standby.
+struct copy_run {
+    const attempt_id attempt;
+    const std::string request;
+    const core::socket_address source;
+    const core::target_name standby;
+    const core::socket_address destination;
+
+    auto operator<=>(const copy_run&) const = default;
+};
+
 /// Asks a target how it fares.
 struct ask_target {
     const request_number request;
@@ -289,6 +301,16 @@
     auto operator<=>(const attempt_lost&) const = default;
 };
 
+/// What came of copy_run.
+struct run_copied {
+    const attempt_id attempt;
+    const core::target_name standby;
+    /// Empty where no copy was made.
+    const std::optional<run_copy> copy;
+
+    auto operator<=>(const run_copied&) const = default;
+};
+
 /// What came of ask_target.
 struct target_answered {
     const request_number request;
@@ -370,9 +392,9 @@
 /// What the decision task receives.
 using relay_message =
     std::variant<submission, caller_gone, metrics_query, stream_begun, stream_events,
-                 stream_finished, attempt_answered, attempt_rejected, attempt_lost, target_answered,
-                 target_identified, instance_answered, configuration_read, targets_listed,
-                 members_listed, stop_requested>;
+                 stream_finished, attempt_answered, attempt_rejected, attempt_lost, run_copied,
+                 target_answered, target_identified, instance_answered, configuration_read,
+                 targets_listed, members_listed, stop_requested>;
 
 /// What the task of the callers' side receives.
 using entry_command =
@@ -381,7 +403,7 @@
 
 /// What the task of the targets' side receives.
 using target_command =
-    std::variant<open_attempt, close_attempt, ask_target, identify_target, ask_instance>;
+    std::variant<open_attempt, close_attempt, copy_run, ask_target, identify_target, ask_instance>;
 
 /// What the task of the platform's store receives.
 using store_command = std::variant<announce_member, withdraw_member>;
--- a/src/relay/relay_charts.cpp
+++ b/src/relay/relay_charts.cpp
@@ -2,6 +2,7 @@
 
 #include "relay/entry_life.hpp"
 #include "relay/request_chart.hpp"
+#include "relay/run_protection.hpp"
 #include "routing/target_health_chart.hpp"
 
 namespace cyclamen::relay {
@@ -12,6 +13,10 @@
     if (!request.ok()) {
         return request.status();
     }
+    const auto protection = files.load("run_protection", protection_vocabulary());
+    if (!protection.ok()) {
+        return protection.status();
+    }
     const auto life = files.load("entry_life", entry_life_vocabulary());
     if (!life.ok()) {
         return life.status();
@@ -20,7 +25,7 @@
     if (!health.ok()) {
         return health.status();
     }
-    return relay_charts{*request, *life, *health};
+    return relay_charts{*request, *protection, *life, *health};
 }
 
 } // namespace cyclamen::relay
--- a/src/relay/relay_charts.hpp
+++ b/src/relay/relay_charts.hpp
@@ -11,6 +11,7 @@
 /// The charts that relaying runs.
 struct relay_charts {
     const std::shared_ptr<const chart::chart> request;
+    const std::shared_ptr<const chart::chart> protection;
     const std::shared_ptr<const chart::chart> life;
     const std::shared_ptr<const chart::chart> target_health;
 
--- a/src/relay/relay_manager.cpp
+++ b/src/relay/relay_manager.cpp
@@ -42,6 +42,7 @@
 {
     now_ = now;
     std::visit([this](const auto& each) { on(each); }, message);
+    tell_endings();
 }
 
 void relay_manager::on_time(core::instant now)
@@ -102,8 +103,9 @@
     request_plan plan{
         number,  heard, *way, service, traits == nullptr ? std::nullopt : traits->engine,
         account, now_};
-    auto made = std::make_unique<relayed_request>(
-        std::move(plan), settings_.requests, charts_.request, static_cast<request_host&>(*this));
+    auto made =
+        std::make_unique<relayed_request>(std::move(plan), settings_.requests, charts_.request,
+                                          charts_.protection, static_cast<request_host&>(*this));
     relayed_request& started = *requests_.emplace(number, std::move(made)).first->second;
     callers_.emplace(heard.caller, number);
     budget_.on_request(service, now_);
@@ -141,6 +143,16 @@
     check_ready();
 }
 
+void relay_manager::tell_endings()
+{
+    for (const core::target_name& each : targets_.take_ending()) {
+        for (const auto& [number, request] : requests_) {
+            request->on_target_ending(each, now_);
+            arm(number, *request);
+        }
+    }
+}
+
 void relay_manager::on(const members_listed& heard)
 {
     members_.update(heard.complete, heard.present, heard.gone);
@@ -247,18 +259,23 @@
 
 void relay_manager::settle(request_number number)
 {
-    const auto due = due_.find(number);
-    if (due != due_.end()) {
-        due_order_.erase({due->second, number});
-        due_.erase(due);
-    }
     const auto found = requests_.find(number);
+    arm(number, *found->second);
     if (found->second->is_closed()) {
         callers_.erase(found->second->plan().submitted.caller);
         requests_.erase(found);
-        return;
     }
-    if (const auto next = found->second->next_due(); next.has_value()) {
+}
+
+void relay_manager::arm(request_number number, const relayed_request& request)
+{
+    const auto due = due_.find(number);
+    if (due != due_.end()) {
+        due_order_.erase({due->second, number});
+        due_.erase(due);
+    }
+    const auto next = request.is_closed() ? std::nullopt : request.next_due();
+    if (next.has_value()) {
         due_.emplace(number, *next);
         due_order_.emplace(*next, number);
     }
@@ -269,6 +286,18 @@
     return targets_.choose(query, now_);
 }
 
+std::optional<target_record> relay_manager::find_standby(const placement_query& query,
+                                                         const target_record& target)
+{
+    return targets_.find_standby(query, target, now_);
+}
+
+void relay_manager::on_standby_changed(const std::optional<target_record>& from,
+                                       const target_record& to)
+{
+    targets_.on_standby_changed(from, to);
+}
+
 std::vector<target_record> relay_manager::survey(const placement_query& query)
 {
     return targets_.survey(query, now_);
--- a/src/relay/relay_manager.hpp
+++ b/src/relay/relay_manager.hpp
@@ -83,6 +83,8 @@
     void watch();
     void on(const stop_requested& heard);
     void on(const target_answered& heard);
+    /// Streams whose copies were at targets that are gone or leave look for others.
+    void tell_endings();
     void on(const target_identified& heard);
     /// What a target said about an attempt goes to its request, where that still waits for it.
     template <class Heard>
@@ -95,9 +97,14 @@
     void check_ready();
     void tell_directory();
     void settle(request_number number);
+    void arm(request_number number, const relayed_request& request);
 
     std::optional<placement> place(const placement_query& query) override;
     std::vector<target_record> survey(const placement_query& query) override;
+    std::optional<target_record> find_standby(const placement_query& query,
+                                              const target_record& target) override;
+    void on_standby_changed(const std::optional<target_record>& from,
+                            const target_record& to) override;
     bool may_repeat(const core::service_name& service) override;
     void count_repeat(const core::service_name& service) override;
     void send(entry_command command) override;
--- a/src/relay/relay_settings.hpp
+++ b/src/relay/relay_settings.hpp
@@ -8,6 +8,7 @@
 #include "core/time.hpp"
 #include "relay/entry_life.hpp"
 #include "relay/member_register.hpp"
+#include "relay/run_protection.hpp"
 #include "routing/health_settings.hpp"
 
 namespace cyclamen::relay {
@@ -35,6 +36,7 @@
     /// Offers of one request, with those that targets reject or don't receive: a failure domain
     /// whose engines have all started again under new names rejects one after the other.
     const std::uint32_t most_offers = 10;
+    const protection_settings protection;
     /// What a refused caller is told to wait.
     const core::duration retry_after = std::chrono::milliseconds{300};
 
--- a/src/relay/relayed_request.cpp
+++ b/src/relay/relayed_request.cpp
@@ -30,9 +30,11 @@
 } // namespace
 
 relayed_request::relayed_request(request_plan plan, const request_settings& settings,
-                                 std::shared_ptr<const chart::chart> definition, request_host& host)
-    : plan_{std::move(plan)}, settings_{settings}, machine_{std::move(definition)}, host_{host},
-      now_{plan_.accepted}, last_event_{plan_.submitted.last_event}
+                                 std::shared_ptr<const chart::chart> definition,
+                                 std::shared_ptr<const chart::chart> protection, request_host& host)
+    : plan_{std::move(plan)}, settings_{settings}, machine_{std::move(definition)},
+      protection_chart_{std::move(protection)}, host_{host}, now_{plan_.accepted},
+      last_event_{plan_.submitted.last_event}
 {
 }
 
@@ -135,8 +137,85 @@
     raise(request_event::load_heard, now);
 }
 
+void relayed_request::on(const run_copied& heard, core::instant now)
+{
+    const auto& standby = placed_->get().standby;
+    if (protection_ != nullptr && standby.has_value() && standby->name == heard.standby) {
+        core::log_event(core::log_level::info, "run_copied",
+                        {{"request", plan_.submitted.content->id},
+                         {"attempt", attempt_.value()},
+                         {"target", placed_->get().target.name.str()},
+                         {"standby", heard.standby.str()},
+                         {"made", heard.copy.has_value()}});
+        protection_->on_copied(heard.copy, now);
+    }
+}
+
+void relayed_request::on_target_ending(const core::target_name& target, core::instant now)
+{
+    now_ = now;
+    if (protection_ != nullptr && placed_.has_value() && placed_->get().standby.has_value() &&
+        placed_->get().standby->name == target) {
+        protection_->on_standby_lost(now);
+    }
+}
+
+bool relayed_request::seek_standby()
+{
+    // What has not begun to run has no memory to copy.
+    if (!attempt_has_events_ || !plan_.engine->moves_memory) {
+        return false;
+    }
+    const placement former = placed_->get();
+    placement_query query = make_query();
+    std::set<core::target_name> tried = tried_;
+    if (former.standby.has_value()) {
+        tried.insert(former.standby->name);
+    }
+    const auto found = host_.find_standby(
+        placement_query{query.service,
+                        query.prompt_tokens,
+                        query.prompt_key,
+                        std::move(tried),
+                        former.standby.has_value() ? std::optional{former.standby->domain}
+                                                   : lost_domain_,
+                        {},
+                        true,
+                        {}},
+        former.target);
+    if (!found.has_value()) {
+        return false;
+    }
+    host_.on_standby_changed(former.standby, *found);
+    placed_->set(placement{former.target, found, former.from_copy});
+    return true;
+}
+
+void relayed_request::copy_run()
+{
+    const placement& placed = placed_->get();
+    host_.send(relay::copy_run{attempt_id{plan_.number, attempt_}, plan_.submitted.content->id,
+                               placed.target.address, placed.standby->name,
+                               placed.standby->address});
+}
+
+std::optional<core::instant> relayed_request::next_due() const
+{
+    std::optional<core::instant> due = timers_.next_due();
+    const auto copy_due =
+        protection_ == nullptr ? std::optional<core::instant>{} : protection_->next_due();
+    if (copy_due.has_value()) {
+        due = std::min(due.value_or(*copy_due), *copy_due);
+    }
+    return due;
+}
+
 void relayed_request::on_time(core::instant now)
 {
+    if (protection_ != nullptr) {
+        now_ = now;
+        protection_->on_time(now);
+    }
     for (auto event = timers_.take_ended(now); event.has_value(); event = timers_.take_ended(now)) {
         raise(static_cast<request_event>(*event), now);
     }
@@ -319,8 +398,13 @@
     tried_.insert(placed.target.name);
     lost_domain_ = placed.target.domain;
     // An engine holds no copy of what has not begun to run.
-    const bool has_copy = attempt_has_events_ && placed.standby.has_value();
+    const auto copy = attempt_has_events_ && protection_ != nullptr ? protection_->copy()
+                                                                    : std::optional<run_copy>{};
+    const bool has_copy = copy.has_value();
     copy_at_ = has_copy ? std::optional{placed.standby->name} : std::nullopt;
+    if (has_copy) {
+        copy_.emplace(*copy);
+    }
     core::log_event(core::log_level::info, event,
                     {{"request", plan_.submitted.content->id},
                      {"attempt", attempt_.value()},
@@ -338,6 +422,7 @@
     if (placed_.has_value()) {
         host_.on_closed(placed_->get(), attempt_has_events_ ? 0 : plan_.submitted.prompt_tokens);
         placed_.reset();
+        protection_.reset();
     }
 }
 
@@ -421,7 +506,13 @@
         attempt_id{plan_.number, attempt_}, placed.target.name, placed.target.address,
         plan_.submitted.content, answer_due() - now_, plan_.account, last_event_,
         placed.standby.has_value() ? std::optional{placed.standby->address} : std::nullopt,
-        placed.from_copy});
+        placed.from_copy ? std::optional{copy_->get()} : std::nullopt});
+    if (placed.standby.has_value()) {
+        protection_ = std::make_unique<run_protection>(
+            run_copy{placed.standby->address, plan_.submitted.content->id}, plan_.engine->copy_keep,
+            settings_.protection, protection_chart_, static_cast<protection_host&>(*this));
+        protection_->start(now_);
+    }
 }
 
 void relayed_request::begin_answer()
--- a/src/relay/relayed_request.hpp
+++ b/src/relay/relayed_request.hpp
@@ -13,6 +13,7 @@
 #include "relay/placement.hpp"
 #include "relay/relay_settings.hpp"
 #include "relay/request_chart.hpp"
+#include "relay/run_protection.hpp"
 
 namespace cyclamen::relay {
 
@@ -37,6 +38,14 @@
     /// @return where the request should go, empty where there is no target
     virtual std::optional<placement> place(const placement_query& query) = 0;
 
+    /// @return another target for copies of the request's memory, empty where there is none
+    virtual std::optional<target_record> find_standby(const placement_query& query,
+                                                      const target_record& target) = 0;
+
+    /// Copies go to another standby.
+    virtual void on_standby_changed(const std::optional<target_record>& from,
+                                    const target_record& to) = 0;
+
     /// @return the targets that are worth asking for their load before place()
     virtual std::vector<target_record> survey(const placement_query& query) = 0;
 
@@ -68,14 +77,16 @@
 };
 
 /// One caller's request: runs the chart `relayed_request`.
-class relayed_request final : private chart::actor {
+class relayed_request final : private chart::actor, private protection_host {
   public:
     /// @param plan what is fixed about it
     /// @param settings limits
     /// @param definition the chart
+    /// @param protection the chart `run_protection`
     /// @param host its surroundings; outlives this object
     relayed_request(request_plan plan, const request_settings& settings,
-                    std::shared_ptr<const chart::chart> definition, request_host& host);
+                    std::shared_ptr<const chart::chart> definition,
+                    std::shared_ptr<const chart::chart> protection, request_host& host);
 
     void start(core::instant now);
 
@@ -87,12 +98,16 @@
     void on(const attempt_rejected& heard, core::instant now);
     void on(const attempt_lost& heard, core::instant now);
     void on(const target_answered& heard, core::instant now);
+    void on(const run_copied& heard, core::instant now);
+
+    /// A target is gone or leaves; copies there are lost.
+    void on_target_ending(const core::target_name& target, core::instant now);
 
     /// Raises the events of timers that have ended.
     void on_time(core::instant now);
 
     /// @return when on_time() should be called next
-    [[nodiscard]] std::optional<core::instant> next_due() const { return timers_.next_due(); }
+    [[nodiscard]] std::optional<core::instant> next_due() const;
 
     /// @return true where the caller has its answer or has left
     [[nodiscard]] bool is_closed() const { return machine_.is_final(); }
@@ -109,6 +124,7 @@
     const request_plan plan_;
     const request_settings& settings_;
     chart::machine machine_;
+    const std::shared_ptr<const chart::chart> protection_chart_;
     request_host& host_;
     core::instant now_;
     chart::timer_set timers_;
@@ -122,7 +138,10 @@
     std::map<core::target_name, reported_load> loads_;
     std::set<core::target_name> tried_;
     std::optional<core::failure_domain_name> lost_domain_;
+    /// Only of a running stream.
+    std::unique_ptr<run_protection> protection_;
     std::optional<core::target_name> copy_at_;
+    std::optional<core::cell<run_copy>> copy_;
     std::uint32_t offers_ = 0;
     std::uint32_t rejections_ = 0;
     std::uint32_t runs_ = 0;
@@ -156,6 +175,9 @@
     void finish_answer();
     void deliver_answer();
 
+    bool seek_standby() override;
+    void copy_run() override;
+
     [[nodiscard]] bool holds(chart::symbol guard) const override;
     void perform(chart::symbol action) override;
     void start_timer(chart::state_timeout timeout) override;
--- a/src/relay/route_table.hpp
+++ b/src/relay/route_table.hpp
@@ -65,6 +65,10 @@
     const std::uint64_t memory_tokens;
     /// True where an engine can copy a request's memory to another one while the request runs.
     const bool copies_memory;
+    /// True where it copies a request's memory to any other one when it is told to.
+    const bool moves_memory;
+    /// How long an engine keeps such a copy.
+    const core::duration copy_keep;
     /// Models that these engines run.
     const std::vector<std::string> models;
 
--- /dev/null
+++ b/src/relay/run_protection.hpp
@@ -0,0 +1,104 @@
+#pragma once
+
+#include <memory>
+#include <optional>
+
+#include "chart/machine.hpp"
+#include "chart/timer_set.hpp"
+#include "core/cell.hpp"
+#include "core/time.hpp"
+#include "relay/run_copy.hpp"
+
+namespace cyclamen::relay {
+
+/// Events of the chart `run_protection`, in the order of protection_vocabulary().
+enum class protection_event : chart::symbol {
+    standby_lost,
+    standby_found,
+    standby_missing,
+    seek_due,
+    copy_made,
+    copy_failed,
+    renewal_due,
+};
+
+/// Actions of the chart `run_protection`.
+enum class protection_action : chart::symbol { seek_standby, copy_run, keep_copy, drop_copy };
+
+/// Timeouts of the chart `run_protection`.
+enum class protection_timeout : chart::symbol { seek_pause, copy_limit, renewal_pause };
+
+/// @return the names that the code binds to the chart `run_protection`
+[[nodiscard]] const chart::vocabulary& protection_vocabulary();
+
+/// Times of keeping a stream protected.
+struct protection_settings {
+    /// Time after which a stream without a standby looks for one again.
+    const core::duration seek_pause = std::chrono::milliseconds{500};
+    /// Longest time that a copy may take: a prompt takes some ten milliseconds on its way.
+    const core::duration copy_limit = std::chrono::seconds{1};
+    /// Part of the time that an engine keeps a copy after which it is renewed.
+    const double renewal_part = 0.6;
+
+    auto operator<=>(const protection_settings&) const = default;
+};
+
+/// Carries out what a protection decides. Called by run_protection on the decision task.
+class protection_host {
+  public:
+    virtual ~protection_host() = default;
+
+    /// Looks for another standby.
+    /// @return true where there is one; copies go to it from now on
+    virtual bool seek_standby() = 0;
+
+    /// Has the memory copied to the standby.
+    virtual void copy_run() = 0;
+};
+
+/// Keeps a copy of a running stream's memory at a second target: runs the chart `run_protection`.
+/// A target mirrors a run to one standby from its start; a standby that replaces it gets copies
+/// that must be renewed.
+class run_protection final : private chart::actor {
+  public:
+    /// @param mirror names the copy that the target makes by itself
+    /// @param copy_keep how long engines keep other copies
+    /// @param settings times
+    /// @param definition the chart
+    /// @param host carries decisions out; outlives this object
+    run_protection(run_copy mirror, core::duration copy_keep, protection_settings settings,
+                   std::shared_ptr<const chart::chart> definition, protection_host& host);
+
+    void start(core::instant now);
+    void on_standby_lost(core::instant now);
+
+    /// @param copy the copy that was made, empty where it failed
+    void on_copied(const std::optional<run_copy>& copy, core::instant now);
+
+    void on_time(core::instant now);
+    [[nodiscard]] std::optional<core::instant> next_due() const { return timers_.next_due(); }
+
+    /// @return the copy at the standby, empty where there is none
+    [[nodiscard]] std::optional<run_copy> copy() const;
+
+  private:
+    const run_copy mirror_;
+    const core::duration copy_keep_;
+    const protection_settings settings_;
+    chart::machine machine_;
+    protection_host& host_;
+    chart::timer_set timers_;
+    core::instant now_;
+    std::optional<protection_event> follow_up_;
+    std::optional<core::cell<run_copy>> made_;
+    std::optional<core::cell<run_copy>> kept_;
+
+    void raise(protection_event event, core::instant now);
+
+    [[nodiscard]] bool holds(chart::symbol /*guard*/) const override { return false; }
+    void perform(chart::symbol action) override;
+    void start_timer(chart::state_timeout timeout) override;
+    void stop_timer(chart::state_timeout timeout) override;
+};
+
+} // namespace cyclamen::relay
--- a/src/relay/target_directory.cpp
+++ b/src/relay/target_directory.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <tuple>
+#include <utility>
 
 #include "core/hash.hpp"
 #include "core/log.hpp"
@@ -74,7 +75,9 @@
     }
     else {
         // A new life under an old name knows nothing of the work before.
-        targets_.erase(record.name);
+        if (targets_.erase(record.name) > 0) {
+            ending_.push_back(record.name);
+        }
         known = &targets_
                      .emplace(record.name,
                               known_target{core::cell{record},
@@ -86,6 +89,9 @@
     }
     if (record.leaving) {
         known->health->on_leaving(now);
+        if (!was_leaving) {
+            ending_.push_back(record.name);
+        }
     }
     if (new_life || record.leaving != was_leaving) {
         core::log_event(core::log_level::info, "target_listed",
@@ -156,25 +162,35 @@
         return std::nullopt;
     }
     const target_record& target = chosen->record.get();
-    std::optional<target_record> standby;
-    if (query.wants_standby) {
-        // A copy at a target that was tried, or in the domain that was lost last, is of no use.
-        std::set<core::target_name> unfit = query.tried;
-        unfit.insert(target.name);
-        const placement_query second{query.service,
-                                     query.prompt_tokens,
-                                     query.prompt_key,
-                                     std::move(unfit),
-                                     query.lost_domain,
-                                     {},
-                                     false,
-                                     query.loads};
-        const known_target* found = pick(second, &target.domain, now);
-        if (found != nullptr && found->record.get().name != target.name) {
-            standby.emplace(found->record.get());
-        }
+    return placement{target, query.wants_standby ? find_standby(query, target, now) : std::nullopt,
+                     from_copy};
+}
+
+std::optional<target_record> target_directory::find_standby(const placement_query& query,
+                                                            const target_record& target,
+                                                            core::instant now)
+{
+    // A copy at a target that was tried, or in the domain that was lost last, is of no use.
+    std::set<core::target_name> unfit = query.tried;
+    unfit.insert(target.name);
+    const placement_query second{query.service,
+                                 query.prompt_tokens,
+                                 query.prompt_key,
+                                 std::move(unfit),
+                                 query.lost_domain,
+                                 {},
+                                 false,
+                                 query.loads};
+    const known_target* found = pick(second, &target.domain, now);
+    if (found == nullptr || found->record.get().name == target.name) {
+        return std::nullopt;
     }
-    return placement{target, standby, from_copy};
+    return found->record.get();
+}
+
+std::vector<core::target_name> target_directory::take_ending()
+{
+    return std::exchange(ending_, {});
 }
 
 const target_directory::known_target*
@@ -273,10 +289,21 @@
         ++known->work.open;
         known->work.unread_tokens += prompt_tokens;
     }
-    if (placed.standby.has_value()) {
-        if (known_target* known = find(placed.standby->name); known != nullptr) {
-            ++known->work.copies;
-        }
+    change_copies(placed.standby, 1);
+}
+
+void target_directory::on_standby_changed(const std::optional<target_record>& from,
+                                          const target_record& to)
+{
+    change_copies(from, -1);
+    change_copies(to, 1);
+}
+
+void target_directory::change_copies(const std::optional<target_record>& standby, int change)
+{
+    known_target* known = standby.has_value() ? find(standby->name) : nullptr;
+    if (known != nullptr && (change > 0 || known->work.copies > 0)) {
+        known->work.copies += static_cast<std::uint32_t>(change);
     }
 }
 
@@ -293,11 +320,7 @@
         known->work.open -= std::min(known->work.open, 1U);
         known->work.unread_tokens -= std::min(known->work.unread_tokens, unread_tokens);
     }
-    if (placed.standby.has_value()) {
-        if (known_target* known = find(placed.standby->name); known != nullptr) {
-            known->work.copies -= std::min(known->work.copies, 1U);
-        }
-    }
+    change_copies(placed.standby, -1);
 }
 
 void target_directory::on_loss(const core::target_name& target, core::instant now)
@@ -338,6 +361,7 @@
 void target_directory::forget(const core::target_name& target, std::string_view reason)
 {
     if (targets_.erase(target) > 0) {
+        ending_.push_back(target);
         core::log_event(core::log_level::info, "target_forgotten",
                         {{"target", target.str()}, {"reason", reason}});
     }
--- a/src/relay/target_directory.hpp
+++ b/src/relay/target_directory.hpp
@@ -42,10 +42,20 @@
     [[nodiscard]] std::vector<target_record> survey(const placement_query& query,
                                                     core::instant now);
 
+    /// @return a target in another failure domain that could get a copy of a request's memory,
+    ///         empty where there is none
+    [[nodiscard]] std::optional<target_record>
+    find_standby(const placement_query& query, const target_record& target, core::instant now);
+
+    /// @return the targets that are gone or leave since the last call: copies there are lost
+    [[nodiscard]] std::vector<core::target_name> take_ending();
+
     /// Counts a request that was sent.
     void on_opened(const placement& placed, std::uint64_t prompt_tokens);
     /// Counts that a target has read a prompt.
     void on_first_event(const core::target_name& target, std::uint64_t prompt_tokens);
+    /// Counts that the copies of a request go to another standby.
+    void on_standby_changed(const std::optional<target_record>& from, const target_record& to);
     /// Counts that an attempt has ended.
     /// @param unread_tokens prompt tokens that were not read
     void on_closed(const placement& placed, std::uint64_t unread_tokens);
@@ -74,6 +84,7 @@
 
     std::map<core::target_name, known_target> targets_;
     std::map<std::pair<core::service_name, core::failure_domain_name>, loss_times> losses_;
+    std::vector<core::target_name> ending_;
     double own_place_ = 0.0;
     std::size_t ejected_ = 0;
 
@@ -94,6 +105,7 @@
     [[nodiscard]] bool is_domain_doubtful(const target_record& record, core::instant now) const;
     template <class Condition>
     [[nodiscard]] std::vector<core::target_name> names_where(Condition condition) const;
+    void change_copies(const std::optional<target_record>& standby, int change);
     void forget(const core::target_name& target, std::string_view reason);
     known_target* find(const core::target_name& name);
 };
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -1,4 +1,5 @@
 #include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
 
 #include "platform/configuration_codec.hpp"
 #include "platform/entry_codec.hpp"
@@ -43,15 +44,17 @@
 relay::open_attempt attempt(bool from_copy)
 {
     const auto submission = platform::decode_submission(client_request(), relay::caller_id{1});
-    return relay::open_attempt{relay::attempt_id{relay::request_number{1}, core::attempt_number{1}},
-                               target.name,
-                               target.address,
-                               submission->content,
-                               1500ms,
-                               core::account_name{"huka"},
-                               submission->last_event,
-                               core::socket_address{"10.128.0.10", 8080},
-                               from_copy};
+    return relay::open_attempt{
+        relay::attempt_id{relay::request_number{1}, core::attempt_number{1}},
+        target.name,
+        target.address,
+        submission->content,
+        1500ms,
+        core::account_name{"huka"},
+        submission->last_event,
+        core::socket_address{"10.128.0.10", 8080},
+        from_copy ? std::optional{relay::run_copy{core::socket_address{"10.128.0.9", 8080}, "9c41"}}
+                  : std::nullopt};
 }
 
 } // namespace
@@ -93,6 +96,27 @@
     BOOST_TEST(sent.find_header("kv-from") == "10.128.0.9:8080/9c41");
 }
 
+BOOST_AUTO_TEST_CASE(a_copy_is_ordered_from_the_runner_that_runs_the_request)
+{
+    const relay::copy_run command{
+        relay::attempt_id{relay::request_number{1}, core::attempt_number{1}}, "9c41",
+        core::socket_address{"10.128.0.9", 8080}, core::target_name{"i-2"},
+        core::socket_address{"10.128.0.10", 8080}};
+    const http::request sent = platform::encode_copy(command);
+    BOOST_TEST(sent.path == "/kv-move");
+    BOOST_TEST((nlohmann::json::parse(sent.body) ==
+                nlohmann::json{{"id", "9c41"}, {"to", "10.128.0.10:8080"}}));
+    const auto heard = [&](int status, const std::string& body) {
+        return platform::decode_copy(
+            platform::question_answer{http::response_head{status, {}}, body}, command.source);
+    };
+    BOOST_TEST(
+        (heard(200, R"({"handle":"h7","created":12})") == relay::run_copy{command.source, "h7"}));
+    BOOST_TEST(!heard(503, R"({"handle":"h7"})").has_value());
+    BOOST_TEST(!heard(200, "{}").has_value());
+    BOOST_TEST(!heard(200, "[").has_value());
+}
+
 BOOST_AUTO_TEST_CASE(answers_that_are_not_of_this_request_are_foreign)
 {
     using platform::answer_kind;
@@ -134,7 +158,8 @@
         {"name":"r","host":"h","prefix":"/a/","kind":"streaming","timeout_ms":25000,"goal_ms":4500,
          "priority":1,"traffic_split":[{"backend":"s","weight":90},{"backend":"u","weight":10}],
          "attempts":5,"public":false,"resumable":true,"gap_target_ms":700}],
-        "backends":[{"name":"s","engine":{"slots":64,"kv_capacity_tokens":55000,"backups":true}},
+        "backends":[{"name":"s","engine":{"slots":64,"kv_capacity_tokens":55000,"backups":true,
+          "moves":true,"handle_s":4.0}},
                     {"name":"u"}],
         "limits":{"max_header_bytes":100,"max_body_bytes":200,"header_timeout_ms":3,
                   "idle_timeout_ms":4},
@@ -145,6 +170,8 @@
     BOOST_TEST(way->services.size() == 2U);
     BOOST_TEST((way->pause_goal == 700ms));
     BOOST_TEST((*table)->find_service(core::service_name{"s"})->engine->copies_memory);
+    BOOST_TEST((*table)->find_service(core::service_name{"s"})->engine->moves_memory);
+    BOOST_TEST(((*table)->find_service(core::service_name{"s"})->engine->copy_keep == 4s));
     BOOST_TEST(!(*table)->find_service(core::service_name{"u"})->engine.has_value());
     BOOST_TEST((*table)->find_account("k2")->str() == "t");
     BOOST_TEST((*table)->needs_keys());
--- a/tests/relay/stream_test.cpp
+++ b/tests/relay/stream_test.cpp
@@ -11,7 +11,7 @@
     const relay::open_attempt& opened = world.opened();
     BOOST_REQUIRE(opened.standby.has_value());
     BOOST_TEST((*opened.standby != opened.address));
-    BOOST_TEST(!opened.from_copy);
+    BOOST_TEST(!opened.copy.has_value());
 }
 
 BOOST_AUTO_TEST_CASE(a_lost_stream_goes_on_at_its_standby_after_the_last_event)
@@ -22,7 +22,7 @@
     world.stream_to(12);
     world.lose();
     BOOST_TEST((world.opened().address == standby));
-    BOOST_TEST(world.opened().from_copy);
+    BOOST_TEST(world.opened().copy.has_value());
     BOOST_TEST(world.opened().last_event.value_or("") == "12");
     world.stream_to(13);
     world.handle(relay::stream_finished{world.opened().attempt});
@@ -38,7 +38,7 @@
     world.stream_to(12);
     world.lose();
     world.handle(relay::attempt_rejected{world.opened().attempt, 503, false});
-    BOOST_TEST(!world.opened().from_copy);
+    BOOST_TEST(!world.opened().copy.has_value());
     BOOST_TEST(world.opened().last_event.value_or("") == "12");
 }
 
@@ -56,7 +56,7 @@
     world.pass(300ms);
     BOOST_TEST(relay_world::count<relay::close_attempt>(world.to_targets) == 1U);
     BOOST_TEST(world.opened().attempt.number.value() == 2U);
-    BOOST_TEST(world.opened().from_copy);
+    BOOST_TEST(world.opened().copy.has_value());
 }
 
 BOOST_AUTO_TEST_CASE(events_of_an_attempt_that_was_given_up_are_dropped)
@@ -182,3 +182,118 @@
     BOOST_REQUIRE(world.opened().attempt.number.value() == 2U);
     BOOST_TEST(!world.opened().last_event.has_value());
 }
+
+namespace {
+
+/// A stream at its third event, in a fleet of six targets.
+void begin_stream(relay_world& world)
+{
+    world.list_targets(6);
+    world.submit(1);
+    world.stream_to(3);
+}
+
+/// @return name of the target that the stream's copies go to at first
+core::target_name first_standby(const relay_world& world)
+{
+    for (int i = 0; i < 6; ++i) {
+        if (relay_world::target(i).address == *world.opened().standby) {
+            return relay_world::target(i).name;
+        }
+    }
+    return {};
+}
+
+const relay::copy_run& last_copy(const relay_world& world)
+{
+    const auto* found = relay_world::find_last<relay::copy_run>(world.to_targets);
+    BOOST_REQUIRE(found != nullptr);
+    return *found;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(a_mirror_is_named_by_its_holder_and_the_request)
+{
+    relay_world world;
+    world.submit(1);
+    const core::socket_address standby = *world.opened().standby;
+    world.stream_to(12);
+    world.lose();
+    BOOST_TEST((world.opened().copy == relay::run_copy{standby, "id-1"}));
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_whose_standby_is_gone_is_copied_to_another_and_goes_on_there)
+{
+    relay_world world;
+    begin_stream(world);
+    const core::target_name gone = first_standby(world);
+    const core::socket_address source = world.opened().address;
+    world.handle(relay::targets_listed{false, {}, {gone}});
+    const relay::copy_run copied = last_copy(world);
+    BOOST_TEST((copied.source == source));
+    BOOST_TEST(copied.request == "id-1");
+    BOOST_TEST((copied.standby != gone));
+    world.handle(relay::run_copied{copied.attempt, copied.standby, relay::run_copy{source, "h7"}});
+    world.lose();
+    BOOST_TEST((world.opened().target == copied.standby));
+    BOOST_TEST((world.opened().copy == relay::run_copy{source, "h7"}));
+}
+
+BOOST_AUTO_TEST_CASE(a_copy_is_renewed_before_its_holder_drops_it)
+{
+    relay_world world;
+    begin_stream(world);
+    world.handle(relay::targets_listed{false, {}, {first_standby(world)}});
+    const relay::copy_run copied = last_copy(world);
+    world.handle(
+        relay::run_copied{copied.attempt, copied.standby, relay::run_copy{copied.source, "h7"}});
+    world.pass(2399ms);
+    BOOST_TEST(relay_world::count<relay::copy_run>(world.to_targets) == 1U);
+    world.pass(1ms);
+    BOOST_TEST(relay_world::count<relay::copy_run>(world.to_targets) == 2U);
+    BOOST_TEST((last_copy(world).standby == copied.standby));
+}
+
+BOOST_AUTO_TEST_CASE(a_copy_that_fails_is_tried_elsewhere_after_a_pause)
+{
+    relay_world world;
+    begin_stream(world);
+    world.handle(relay::targets_listed{false, {}, {first_standby(world)}});
+    const relay::copy_run copied = last_copy(world);
+    world.handle(relay::run_copied{copied.attempt, copied.standby, std::nullopt});
+    world.lose();
+    BOOST_TEST(!world.opened().copy.has_value());
+    relay_world second;
+    begin_stream(second);
+    second.handle(relay::targets_listed{false, {}, {first_standby(second)}});
+    second.handle(
+        relay::run_copied{last_copy(second).attempt, last_copy(second).standby, std::nullopt});
+    second.pass(500ms);
+    BOOST_TEST(relay_world::count<relay::copy_run>(second.to_targets) == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(a_leaving_standby_is_replaced_while_it_still_holds_its_copy)
+{
+    relay_world world;
+    begin_stream(world);
+    const core::target_name leaving = first_standby(world);
+    for (int i = 0; i < 6; ++i) {
+        if (relay_world::target(i).name == leaving) {
+            world.handle(relay::targets_listed{false, {relay_world::target(i, true)}, {}});
+        }
+    }
+    BOOST_TEST((last_copy(world).standby != leaving));
+}
+
+BOOST_AUTO_TEST_CASE(what_has_not_begun_to_run_is_not_copied)
+{
+    relay_world world;
+    world.list_targets(6);
+    world.submit(1);
+    world.handle(relay::targets_listed{false, {}, {first_standby(world)}});
+    BOOST_TEST(relay_world::count<relay::copy_run>(world.to_targets) == 0U);
+    world.stream_to(1);
+    world.pass(500ms);
+    BOOST_TEST(relay_world::count<relay::copy_run>(world.to_targets) == 1U);
+}
--- a/tests/relay/world.hpp
+++ b/tests/relay/world.hpp
@@ -73,7 +73,8 @@
                                .is_public = false,
                                .resumable = streams};
         const auto engine =
-            streams ? std::optional{relay::engine_traits{64, 50000, true, {"m"}}} : std::nullopt;
+            streams ? std::optional{relay::engine_traits{64, 50000, true, true, 4s, {"m"}}}
+                    : std::nullopt;
         handle(relay::configuration_read{std::make_shared<const relay::route_table>(
             core::revision{revision}, std::vector{way},
             std::vector{relay::service_traits{service, "/healthz", engine}},
