Free the copies of a stream when it ends

Change: a request that ends while a copy is held has the target that named it drop it at both ends. A copy that a run goes on from is used up by that.

--- a/src/relay/messages.hpp
+++ b/src/relay/messages.hpp
@@ -220,6 +220,13 @@
     auto operator<=>(const copy_run&) const = default;
 };
 
+/// Has a copy that is not needed any more dropped.
+struct free_copy {
+    const run_copy copy;
+
+    auto operator<=>(const free_copy&) const = default;
+};
+
 /// Asks a target how it fares.
 struct ask_target {
     const request_number request;
@@ -402,8 +409,8 @@
                  answer_refused, answer_cut, directory_changed, limits_changed, entry_closing>;
 
 /// What the task of the targets' side receives.
-using target_command =
-    std::variant<open_attempt, close_attempt, copy_run, ask_target, identify_target, ask_instance>;
+using target_command = std::variant<open_attempt, close_attempt, copy_run, free_copy, ask_target,
+                                    identify_target, ask_instance>;
 
 /// What the task of the platform's store receives.
 using store_command = std::variant<announce_member, withdraw_member>;
--- a/src/relay/relayed_request.cpp
+++ b/src/relay/relayed_request.cpp
@@ -561,6 +561,10 @@
 
 void relayed_request::end(std::string_view outcome)
 {
+    const auto held = protection_ == nullptr ? std::optional<run_copy>{} : protection_->held_copy();
+    if (held.has_value()) {
+        host_.send(free_copy{*held});
+    }
     host_.on_ended(plan_, outcome);
     core::log_event(core::log_level::info, "request_ended",
                     {{"request", plan_.submitted.content->id},
--- a/src/relay/run_protection.cpp
+++ b/src/relay/run_protection.cpp
@@ -52,6 +52,11 @@
     if (machine_.state_name() == "mirrored") {
         return mirror_;
     }
+    return held_copy();
+}
+
+std::optional<run_copy> run_protection::held_copy() const
+{
     return kept_.has_value() ? std::optional{kept_->get()} : std::nullopt;
 }
 
--- a/src/relay/run_protection.hpp
+++ b/src/relay/run_protection.hpp
@@ -81,6 +81,10 @@
     /// @return the copy at the standby, empty where there is none
     [[nodiscard]] std::optional<run_copy> copy() const;
 
+    /// @return the copy that its holder keeps until it is told otherwise or its time is up, empty
+    ///         where there is none
+    [[nodiscard]] std::optional<run_copy> held_copy() const;
+
   private:
     const run_copy mirror_;
     const core::duration copy_keep_;
--- a/tests/relay/stream_test.cpp
+++ b/tests/relay/stream_test.cpp
@@ -297,3 +297,31 @@
     world.pass(500ms);
     BOOST_TEST(relay_world::count<relay::copy_run>(world.to_targets) == 1U);
 }
+
+BOOST_AUTO_TEST_CASE(a_copy_is_freed_when_its_stream_ends)
+{
+    relay_world world;
+    begin_stream(world);
+    world.handle(relay::targets_listed{false, {}, {first_standby(world)}});
+    const relay::copy_run copied = last_copy(world);
+    const relay::run_copy copy{copied.source, "h7"};
+    world.handle(relay::run_copied{copied.attempt, copied.standby, copy});
+    world.handle(relay::stream_finished{copied.attempt});
+    const auto* freed = relay_world::find_last<relay::free_copy>(world.to_targets);
+    BOOST_REQUIRE(freed != nullptr);
+    BOOST_TEST((freed->copy == copy));
+}
+
+BOOST_AUTO_TEST_CASE(a_copy_that_a_stream_goes_on_from_is_not_freed)
+{
+    relay_world world;
+    begin_stream(world);
+    world.handle(relay::targets_listed{false, {}, {first_standby(world)}});
+    const relay::copy_run copied = last_copy(world);
+    world.handle(
+        relay::run_copied{copied.attempt, copied.standby, relay::run_copy{copied.source, "h7"}});
+    world.lose();
+    world.stream_to(4);
+    world.handle(relay::stream_finished{world.opened().attempt});
+    BOOST_TEST(relay_world::count<relay::free_copy>(world.to_targets) == 0U);
+}
