Stand-ins for the users' store and runners, explain, and a fault soak

Change: src/standin has the users' store (transactions, feeds, history, outages) and runners (streams, copies, lives, faults), and tests/platform plays a whole instance against them: a stream outlives its engine, and the three failed requests of docs/OPERATIONS.md are explained by their log lines. src/explain and `cyclamencourse explain ID FILES...` print the story of a request across machines.

--- a/src/cli/command_line.cpp
+++ b/src/cli/command_line.cpp
@@ -1,5 +1,6 @@
 #include "cli/command_line.hpp"
 
+#include <charconv>
 #include <functional>
 #include <iostream>
 #include <map>
@@ -10,9 +11,11 @@
 #include "cli/bench_commands.hpp"
 #include "cli/chart_commands.hpp"
 #include "cli/demo.hpp"
+#include "cli/explain_command.hpp"
 #include "cli/operator_commands.hpp"
 #include "cli/relay_command.hpp"
 #include "cli/serve_commands.hpp"
+#include "cli/soak_command.hpp"
 #include "task/signals.hpp"
 
 namespace cyclamen::cli {
@@ -28,6 +31,7 @@
   cyclamencourse route --config FILE [--charts DIR]
   cyclamencourse relay [--config FILE] [--charts DIR]
   cyclamencourse check [--relay] FILE
+  cyclamencourse explain ID FILES...
   cyclamencourse stand-in engine --config FILE
   cyclamencourse stand-in platform --config FILE
   cyclamencourse stand-in service --config FILE
@@ -36,6 +40,7 @@
   cyclamencourse demo [--keep]
   cyclamencourse load --config FILE
   cyclamencourse experiment FILE
+  cyclamencourse soak [--seed N] [--seeds COUNT] [--seconds S] [--keep]
   cyclamencourse apply FILES... --at ADDR --token-file FILE [--expect REV] [--dry-run]
   cyclamencourse get --at ADDR --token-file FILE
   cyclamencourse diff FILES... --at ADDR --token-file FILE
@@ -49,11 +54,13 @@
   route      Run one entry instance until SIGTERM.
   relay      Run one instance on the users' platform until SIGTERM.
   check      Check a settings file of an instance and list every fault.
+  explain    Print what the logs of all machines say of one request, in the order of time.
   stand-in   Run a stand-in for a back end or the platform, for trials.
   charts     Check the chart files of a folder, or print one as a Graphviz graph.
   demo       Run engines, instances and callers in this process, and kill an engine.
   load       Send a load to instances on loopback and check every token.
   experiment Run a fixed experiment with the standard and the naive policy.
+  soak       Run instances as processes, harm them by seed and check every promise.
   apply      Make the declarations of files, put together, the accepted configuration.
   get        Print the configuration in force.
   diff       Print how files differ from the configuration in force, as a JSON patch.
@@ -71,7 +78,10 @@
   --expect REV   Apply only if this is the newest revision.
   --dry-run      Check the declarations; apply nothing.
   --wait         Wait until the newest revision is in force everywhere, at most 60 s.
-  --keep         Leave the demo running until SIGTERM.
+  --keep         Leave the demo running until SIGTERM; keep the logs of every soak.
+  --seed N       First seed of a soak [default: 1].
+  --seeds COUNT  Number of seeds [default: 1].
+  --seconds S    Length of the traffic of each soak [default: 20].
 
 Exit status: 0 done, 1 failed, 2 wrong command line or file.
 )";
@@ -111,6 +121,24 @@
     return std::nullopt;
 }
 
+int run_soaks(const argument_map& arguments)
+{
+    const auto number = [&](const char* name) -> std::uint64_t {
+        const std::string text = text_of(arguments, name);
+        std::uint64_t value = 0;
+        std::from_chars(text.data(), text.data() + text.size(), value);
+        return value;
+    };
+    const std::uint64_t count = number("--seeds");
+    const std::uint64_t seconds = number("--seconds");
+    if (count == 0 || seconds == 0) {
+        std::cerr << "error: --seeds and --seconds must be numbers above 0\n";
+        return exit_usage;
+    }
+    return soak("/proc/self/exe", number("--seed"), count, seconds,
+                arguments.at("--keep").asBool());
+}
+
 int dispatch(const argument_map& arguments)
 {
     const auto given = [&](const char* name) { return arguments.at(name).asBool(); };
@@ -138,12 +166,18 @@
         return given("--relay") ? check_relay_settings(text_of(arguments, "FILE"))
                                 : check_settings(text_of(arguments, "FILE"));
     }
+    if (given("explain")) {
+        return explain(text_of(arguments, "ID"), arguments.at("FILES").asStringList());
+    }
     if (given("load")) {
         return send_load(text_of(arguments, "--config"));
     }
     if (given("experiment")) {
         return run_experiment(text_of(arguments, "FILE"));
     }
+    if (given("soak")) {
+        return run_soaks(arguments);
+    }
     const auto operated = dispatch_operator(arguments);
     if (operated.has_value()) {
         return *operated;
--- /dev/null
+++ b/src/cli/explain_command.cpp
@@ -0,0 +1,40 @@
+#include "cli/explain_command.hpp"
+
+#include <fstream>
+#include <iostream>
+
+#include "cli/command_line.hpp"
+#include "cli/fail.hpp"
+#include "core/error.hpp"
+#include "core/text.hpp"
+#include "explain/story.hpp"
+
+namespace cyclamen::cli {
+
+int explain(const std::string& request, const std::vector<std::string>& files)
+{
+    std::vector<explain::log_text> logs;
+    for (const std::string& each : files) {
+        std::ifstream input{each};
+        if (!input) {
+            return fail(core::make_error(core::error_kind::not_found,
+                                         core::concat("can't read ", each),
+                                         "name log files that can be read"),
+                        exit_usage);
+        }
+        logs.push_back(explain::read_log(each, input));
+    }
+    const auto story = explain::tell_story(request, logs);
+    if (story.empty()) {
+        return fail(core::make_error(core::error_kind::not_found,
+                                     core::concat("no line names request ", request),
+                                     "give the logs of all machines for the time of the request"),
+                    exit_failure);
+    }
+    for (const explain::story_line& each : story) {
+        std::cout << each.source << ": " << each.text << '\n';
+    }
+    return 0;
+}
+
+} // namespace cyclamen::cli
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -1,11 +1,5 @@
 #include "http/server.hpp"
 
-#include <arpa/inet.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
-#include <cerrno>
-#include <cstring>
 #include <map>
 #include <optional>
 
@@ -13,6 +7,7 @@
 #include "core/error.hpp"
 #include "core/log.hpp"
 #include "core/text.hpp"
+#include "http/tcp_acceptor.hpp"
 #include "http/tcp_stream.hpp"
 #include "task/h2o.hpp"
 
@@ -20,17 +15,10 @@
 
 namespace {
 
-constexpr int listen_backlog = 1024;
 constexpr int status_no_content = 204;
 constexpr int status_not_modified = 304;
 constexpr int first_final_status = 200;
 
-/// Connections accepted in one round of the loop; more wait for the next round.
-constexpr int most_accepted_at_once = 64;
-
-/// How long the server waits for a free descriptor before it accepts again.
-constexpr core::duration accept_pause = std::chrono::milliseconds{100};
-
 /// How often timed limits of connections are looked at.
 constexpr core::duration limit_check_period = std::chrono::seconds{1};
 
@@ -39,35 +27,6 @@
 
 using connection_number = core::number<struct connection_number_tag>;
 
-absl::Status socket_error(std::string_view step, const core::socket_address& address)
-{
-    return core::make_error(
-        core::error_kind::unavailable,
-        core::concat("can't ", step, " ", core::to_string(address), ": ", std::strerror(errno)),
-        "choose an address of this machine that is free");
-}
-
-absl::StatusOr<int> open_listener(const core::socket_address& address)
-{
-    const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-    if (fd < 0) {
-        return socket_error("open a socket for", address);
-    }
-    const int on = 1;
-    ::setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-    sockaddr_in bound{};
-    bound.sin_family = AF_INET;
-    bound.sin_port = htons(address.port);
-    ::inet_pton(AF_INET, address.ip.c_str(), &bound.sin_addr);
-    if (::bind(fd, reinterpret_cast<const sockaddr*>(&bound), sizeof(bound)) != 0 ||
-        ::listen(fd, listen_backlog) != 0) {
-        const absl::Status status = socket_error("listen on", address);
-        ::close(fd);
-        return status;
-    }
-    return fd;
-}
-
 std::string encode_chunk(std::string_view bytes, bool last)
 {
     std::string text;
@@ -86,7 +45,7 @@
 } // namespace
 
 /// Keeps the connections of one server.
-class server::implementation {
+class server::implementation final : private acceptor_listener {
   public:
     implementation(task::event_loop& loop, const server_settings& settings, server_handler& handler)
         : loop_{loop}, handler_{handler}, settings_{settings}
@@ -94,7 +53,7 @@
         check_limits_later();
     }
 
-    ~implementation()
+    ~implementation() override
     {
         closing_ = true;
         stop_accepting();
@@ -104,11 +63,13 @@
     implementation(const implementation&) = delete;
     implementation& operator=(const implementation&) = delete;
 
-    void accept_from(int fd)
+    absl::Status listen(const core::socket_address& address)
     {
-        listener_ = h2o_evloop_socket_create(loop_.native(), fd, H2O_SOCKET_FLAG_DONT_READ);
-        listener_->data = this;
-        h2o_socket_read_start(listener_, on_accept);
+        auto acceptor = tcp_acceptor::listen(loop_, address, *this);
+        if (acceptor.ok()) {
+            acceptor_ = *std::move(acceptor);
+        }
+        return acceptor.status();
     }
 
     void set_settings(const server_settings& settings) { settings_.set(settings); }
@@ -118,13 +79,10 @@
     void stop_accepting()
     {
         closes_after_answers_ = true;
-        loop_.cancel(accept_again_);
-        if (listener_ == nullptr) {
+        if (acceptor_ == nullptr) {
             return;
         }
-        h2o_socket_read_stop(listener_);
-        h2o_socket_close(listener_);
-        listener_ = nullptr;
+        acceptor_.reset();
         for (auto each = connections_.begin(); each != connections_.end();) {
             // A request that is arriving or being answered goes on.
             const bool idle = each->second->is_idle();
@@ -226,12 +184,11 @@
     task::event_loop& loop_;
     server_handler& handler_;
     core::cell<server_settings> settings_;
-    h2o_socket_t* listener_ = nullptr;
+    std::unique_ptr<tcp_acceptor> acceptor_;
     std::map<connection_number, std::unique_ptr<connection>> connections_;
     std::map<exchange_id, connection*> exchanges_;
     connection_number last_connection_;
     exchange_id last_exchange_;
-    task::timer_id accept_again_;
     task::timer_id limit_check_;
     bool closing_ = false;
     bool closes_after_answers_ = false;
@@ -242,37 +199,7 @@
         return found == exchanges_.end() ? nullptr : found->second;
     }
 
-    static void on_accept(h2o_socket_t* listener, const char* error)
-    {
-        auto* self = static_cast<implementation*>(listener->data);
-        if (error != nullptr) {
-            return;
-        }
-        for (int accepted = 0; accepted < most_accepted_at_once; ++accepted) {
-            errno = 0;
-            h2o_socket_t* socket = h2o_evloop_socket_accept(listener);
-            if (socket != nullptr) {
-                self->add(socket);
-                continue;
-            }
-            if (errno == EMFILE || errno == ENFILE || errno == ENOMEM) {
-                self->pause_accepting();
-            }
-            return;
-        }
-    }
-
-    /// Without a pause the loop would spin on a connection that it can't accept.
-    void pause_accepting()
-    {
-        core::log_event(core::log_level::warning, "accept_paused",
-                        {{"reason", std::strerror(errno)}});
-        h2o_socket_read_stop(listener_);
-        accept_again_ =
-            loop_.run_after(accept_pause, [this] { h2o_socket_read_start(listener_, on_accept); });
-    }
-
-    void add(h2o_socket_t* socket)
+    void on_accepted(h2o_socket_t* socket) override
     {
         last_connection_ = last_connection_.next();
         auto made = std::make_unique<connection>(*this, last_connection_, socket);
@@ -439,12 +366,11 @@
                                                        const server_settings& settings,
                                                        server_handler& handler)
 {
-    const auto fd = open_listener(address);
-    if (!fd.ok()) {
-        return fd.status();
-    }
     auto made = std::make_unique<implementation>(loop, settings, handler);
-    made->accept_from(*fd);
+    const absl::Status listening = made->listen(address);
+    if (!listening.ok()) {
+        return listening;
+    }
     return std::unique_ptr<server>{new server{std::move(made)}};
 }
 
--- /dev/null
+++ b/src/http/tcp_acceptor.cpp
@@ -0,0 +1,111 @@
+#include "http/tcp_acceptor.hpp"
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <cstring>
+
+#include "core/error.hpp"
+#include "core/log.hpp"
+#include "core/text.hpp"
+#include "task/h2o.hpp"
+
+namespace cyclamen::http {
+
+namespace {
+
+constexpr int listen_backlog = 1024;
+
+/// Connections accepted in one round of the loop; more wait for the next round.
+constexpr int most_accepted_at_once = 64;
+
+/// How long the server waits for a free descriptor before it accepts again.
+constexpr core::duration accept_pause = std::chrono::milliseconds{100};
+
+absl::Status socket_error(std::string_view step, const core::socket_address& address)
+{
+    return core::make_error(
+        core::error_kind::unavailable,
+        core::concat("can't ", step, " ", core::to_string(address), ": ", std::strerror(errno)),
+        "choose an address of this machine that is free");
+}
+
+absl::StatusOr<int> open_listener(const core::socket_address& address)
+{
+    const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (fd < 0) {
+        return socket_error("open a socket for", address);
+    }
+    const int on = 1;
+    ::setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    sockaddr_in bound{};
+    bound.sin_family = AF_INET;
+    bound.sin_port = htons(address.port);
+    ::inet_pton(AF_INET, address.ip.c_str(), &bound.sin_addr);
+    if (::bind(fd, reinterpret_cast<const sockaddr*>(&bound), sizeof(bound)) != 0 ||
+        ::listen(fd, listen_backlog) != 0) {
+        const absl::Status status = socket_error("listen on", address);
+        ::close(fd);
+        return status;
+    }
+    return fd;
+}
+
+} // namespace
+
+absl::StatusOr<std::unique_ptr<tcp_acceptor>>
+tcp_acceptor::listen(task::event_loop& loop, const core::socket_address& address,
+                     acceptor_listener& listener)
+{
+    const auto descriptor = open_listener(address);
+    if (!descriptor.ok()) {
+        return descriptor.status();
+    }
+    return std::unique_ptr<tcp_acceptor>{new tcp_acceptor{loop, *descriptor, listener}};
+}
+
+tcp_acceptor::tcp_acceptor(task::event_loop& loop, int descriptor, acceptor_listener& listener)
+    : loop_{loop}, listener_{listener}, socket_{h2o_evloop_socket_create(loop.native(), descriptor,
+                                                                         H2O_SOCKET_FLAG_DONT_READ)}
+{
+    socket_->data = this;
+    h2o_socket_read_start(socket_, on_readable);
+}
+
+tcp_acceptor::~tcp_acceptor()
+{
+    loop_.cancel(accept_again_);
+    h2o_socket_read_stop(socket_);
+    h2o_socket_close(socket_);
+}
+
+void tcp_acceptor::on_readable(h2o_socket_t* socket, const char* error)
+{
+    auto* self = static_cast<tcp_acceptor*>(socket->data);
+    if (error != nullptr) {
+        return;
+    }
+    for (int accepted = 0; accepted < most_accepted_at_once; ++accepted) {
+        errno = 0;
+        h2o_socket_t* connection = h2o_evloop_socket_accept(socket);
+        if (connection == nullptr) {
+            if (errno == EMFILE || errno == ENFILE || errno == ENOMEM) {
+                self->pause();
+            }
+            return;
+        }
+        self->listener_.on_accepted(connection);
+    }
+}
+
+void tcp_acceptor::pause()
+{
+    core::log_event(core::log_level::warning, "accept_paused", {{"reason", std::strerror(errno)}});
+    h2o_socket_read_stop(socket_);
+    accept_again_ =
+        loop_.run_after(accept_pause, [this] { h2o_socket_read_start(socket_, on_readable); });
+}
+
+} // namespace cyclamen::http
--- /dev/null
+++ b/src/http/tcp_acceptor.hpp
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <memory>
+
+#include <absl/status/statusor.h>
+
+#include "core/socket_address.hpp"
+#include "task/event_loop.hpp"
+
+struct st_h2o_socket_t;
+
+namespace cyclamen::http {
+
+/// Takes over accepted connections. Called on the thread of the loop.
+class acceptor_listener {
+  public:
+    virtual ~acceptor_listener() = default;
+
+    /// @param accepted a connection that is not read yet
+    virtual void on_accepted(st_h2o_socket_t* accepted) = 0;
+};
+
+/// Listens on an address and accepts TCP connections. Where descriptors run out it waits a little,
+/// so that open connections go on.
+class tcp_acceptor {
+  public:
+    /// Binds an address and starts to listen.
+    /// @param loop event loop of the owning task
+    /// @param address where to listen
+    /// @param listener takes over the connections; outlives the acceptor
+    /// @return the acceptor, or unavailable where the address can't be bound
+    [[nodiscard]] static absl::StatusOr<std::unique_ptr<tcp_acceptor>>
+    listen(task::event_loop& loop, const core::socket_address& address,
+           acceptor_listener& listener);
+
+    /// Accepts no further connections.
+    ~tcp_acceptor();
+    tcp_acceptor(const tcp_acceptor&) = delete;
+    tcp_acceptor& operator=(const tcp_acceptor&) = delete;
+
+  private:
+    task::event_loop& loop_;
+    acceptor_listener& listener_;
+    st_h2o_socket_t* socket_;
+    task::timer_id accept_again_;
+
+    tcp_acceptor(task::event_loop& loop, int descriptor, acceptor_listener& listener);
+    void pause();
+
+    static void on_readable(st_h2o_socket_t* socket, const char* error);
+};
+
+} // namespace cyclamen::http
--- /dev/null
+++ b/src/soak/caller_task.hpp
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "core/socket_address.hpp"
+#include "http/message_reader.hpp"
+#include "http/tcp_stream.hpp"
+#include "soak/call_record.hpp"
+#include "task/basic_task.hpp"
+#include "task/outbox.hpp"
+
+namespace cyclamen::soak {
+
+/// How callers behave.
+struct caller_settings {
+    const std::uint64_t seed;
+    const std::vector<core::socket_address> instances;
+    const std::size_t callers = 24;
+    /// Longest pause between two requests of a caller.
+    const core::duration longest_pause = std::chrono::milliseconds{60};
+    const core::duration patience = std::chrono::seconds{6};
+    /// Part of the requests whose caller leaves early.
+    const double leave_part = 0.05;
+    const std::string host = "soak.example";
+    const std::string key = "soak-key";
+};
+
+/// Tells callers what has changed.
+struct caller_news {
+    /// Newest revision that may be in force.
+    const std::uint64_t revision;
+    /// Number of the process of each instance.
+    const std::vector<std::uint64_t> processes;
+    /// False where no new request may be sent.
+    const bool sending;
+
+    auto operator<=>(const caller_news&) const = default;
+};
+
+/// Callers that send one request after the other, each over a connection that it keeps until it
+/// ends. A stream that breaks goes on after its last event, at any instance.
+class caller_task final : public task::basic_task<caller_news> {
+  public:
+    caller_task(caller_settings settings, task::outbox_ptr<call_record> records);
+    ~caller_task() override;
+
+  private:
+    class caller;
+
+    const caller_settings settings_;
+    task::outbox_ptr<call_record> records_;
+    std::mt19937_64 draw_;
+    std::vector<std::unique_ptr<caller>> callers_;
+    std::uint64_t revision_ = 0;
+    std::vector<std::uint64_t> processes_;
+    bool sending_ = false;
+    std::uint64_t last_request_ = 0;
+
+    absl::Status on_start() override;
+    void on_message(const caller_news& message) override;
+    void on_stop() override;
+    void record(call_record made);
+    std::uint64_t draw(std::uint64_t below) { return draw_() % below; }
+};
+
+} // namespace cyclamen::soak
--- /dev/null
+++ b/src/soak/child_process.hpp
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <sys/types.h>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <absl/status/statusor.h>
+
+#include "core/time.hpp"
+
+namespace cyclamen::soak {
+
+/// A process that the soak has started. It is killed with this object.
+class child_process {
+  public:
+    /// @param arguments program and its arguments
+    /// @param output file that standard output and standard error are added to
+    /// @return the process, or unavailable where it can't be started
+    [[nodiscard]] static absl::StatusOr<child_process>
+    start(const std::vector<std::string>& arguments, const std::string& output);
+
+    ~child_process();
+    child_process(child_process&& other) noexcept;
+    child_process& operator=(child_process&& other) noexcept;
+
+    /// Sends a signal; no effect where it has ended.
+    void send_signal(int number);
+
+    /// @return how it has ended, as waitpid tells it; empty while it runs
+    [[nodiscard]] std::optional<int> poll();
+
+    /// Waits for its end.
+    /// @return the same, empty where it still runs after that time
+    [[nodiscard]] std::optional<int> wait(core::duration longest);
+
+  private:
+    pid_t id_;
+    std::optional<int> ended_;
+
+    explicit child_process(pid_t id) : id_{id} {}
+};
+
+} // namespace cyclamen::soak
--- /dev/null
+++ b/src/standin/row_store_task.cpp
@@ -0,0 +1,306 @@
+#include "standin/row_store_task.hpp"
+
+#include <charconv>
+
+#include <absl/strings/escaping.h>
+#include <nlohmann/json.hpp>
+
+#include "core/log.hpp"
+#include "core/text.hpp"
+
+namespace cyclamen::standin {
+
+namespace {
+
+using document = nlohmann::json;
+
+constexpr int status_ok = 200;
+constexpr int status_bad_request = 400;
+constexpr int status_forbidden = 403;
+constexpr int status_history_lost = 410;
+constexpr int status_not_found = 404;
+constexpr int status_condition_failed = 412;
+constexpr int status_unavailable = 503;
+constexpr int slowness = 50;
+
+std::string unescape(std::string_view text)
+{
+    std::string plain;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        unsigned code = 0;
+        if (text[i] == '%' && i + 2 < text.size() &&
+            std::from_chars(text.data() + i + 1, text.data() + i + 3, code, 16).ec == std::errc{}) {
+            plain += static_cast<char>(code);
+            i += 2;
+        }
+        else {
+            plain += text[i];
+        }
+    }
+    return plain;
+}
+
+std::map<std::string, std::string> query_of(std::string_view path)
+{
+    std::map<std::string, std::string> fields;
+    const std::size_t start = path.find('?');
+    if (start == std::string_view::npos) {
+        return fields;
+    }
+    for (const std::string_view each : core::split(path.substr(start + 1), '&')) {
+        const std::size_t equals = each.find('=');
+        if (equals != std::string_view::npos) {
+            fields.emplace(each.substr(0, equals), unescape(each.substr(equals + 1)));
+        }
+    }
+    return fields;
+}
+
+std::uint64_t number_at(const std::map<std::string, std::string>& query, const std::string& name)
+{
+    const auto found = query.find(name);
+    std::uint64_t value = 0;
+    if (found != query.end()) {
+        std::from_chars(found->second.data(), found->second.data() + found->second.size(), value);
+    }
+    return value;
+}
+
+std::string text_at(const std::map<std::string, std::string>& query, const std::string& name)
+{
+    const auto found = query.find(name);
+    return found == query.end() ? std::string{} : found->second;
+}
+
+/// Tables that only the operator and the runners write.
+bool is_foreign(const std::string& table)
+{
+    return table == "op" || table == "servers";
+}
+
+} // namespace
+
+row_store_task::row_store_task(row_store_settings settings)
+    : basic_task{"stand-in store"}, settings_{std::move(settings)}
+{
+}
+
+row_store_task::~row_store_task()
+{
+    stop();
+}
+
+absl::Status row_store_task::on_start()
+{
+    return listen();
+}
+
+absl::Status row_store_task::listen()
+{
+    auto listening = http::server::listen(loop(), settings_.listen, http::server_settings{},
+                                          static_cast<http::server_handler&>(*this));
+    if (!listening.ok()) {
+        return listening.status();
+    }
+    server_ = *std::move(listening);
+    return absl::OkStatus();
+}
+
+void row_store_task::on_message(const row_store_message& message)
+{
+    std::visit([this](const auto& each) { handle(each); }, message);
+}
+
+void row_store_task::on_stop()
+{
+    server_.reset();
+}
+
+void row_store_task::handle(const set_row_store_fault& command)
+{
+    const bool was_down = fault_ == row_store_fault::down;
+    fault_ = command.kind;
+    if (fault_ == row_store_fault::down) {
+        waiting_.clear();
+        server_.reset();
+    }
+    else if (was_down) {
+        if (const absl::Status listening = listen(); !listening.ok()) {
+            core::log_event(core::log_level::error, "store_not_listening",
+                            {{"reason", std::string{listening.message()}}});
+        }
+    }
+    serve_waiting();
+}
+
+void row_store_task::handle(const write_rows& command)
+{
+    rows_.commit({}, command.writes);
+    serve_waiting();
+}
+
+void row_store_task::handle(const forget_history& /*command*/)
+{
+    rows_.forget_history();
+    serve_waiting();
+}
+
+void row_store_task::on_request(http::exchange_id exchange, const http::request& received)
+{
+    if (fault_ == row_store_fault::silent) {
+        return;
+    }
+    const std::string_view path =
+        std::string_view{received.path}.substr(0, received.path.find('?'));
+    ++calls_[std::string{path}];
+    const auto query = query_of(received.path);
+    if (fault_ == row_store_fault::busy) {
+        answer(exchange, status_unavailable, "{}");
+    }
+    else if (path == "/rows-tx") {
+        on_transaction(exchange, received);
+    }
+    else if (path == "/rows-get") {
+        answer_rows(exchange, rows_.read(text_at(query, "table"), text_at(query, "from"),
+                                         settings_.most_rows));
+    }
+    else if (path == "/rows-feed") {
+        on_feed(exchange, query);
+    }
+    else {
+        answer(exchange, status_not_found, "{}");
+    }
+}
+
+void row_store_task::on_gone(http::exchange_id exchange)
+{
+    if (const auto gone = waiting_.extract(exchange); !gone.empty()) {
+        loop().cancel(gone.mapped().timer);
+    }
+}
+
+void row_store_task::on_transaction(http::exchange_id exchange, const http::request& received)
+{
+    const document body = document::parse(received.body, nullptr, false);
+    if (!body.is_object()) {
+        answer(exchange, status_bad_request, "{}");
+        return;
+    }
+    std::vector<row_condition> conditions;
+    for (const document& each : body.value("expected_revision", document::array())) {
+        conditions.push_back(
+            row_condition{each.at("table"), each.at("key"), each.at("schema_version")});
+    }
+    std::vector<row_write> writes;
+    for (const document& each : body.value("put", document::array())) {
+        std::string value;
+        absl::Base64Unescape(each.at("value").get<std::string>(), &value);
+        writes.push_back(row_write{each.at("table"), each.at("key"), std::move(value), false});
+    }
+    for (const document& each : body.value("remove", document::array())) {
+        writes.push_back(row_write{each.at("table"), each.at("key"), {}, true});
+    }
+    for (const row_write& each : writes) {
+        if (is_foreign(each.table)) {
+            answer(exchange, status_forbidden, "{}");
+            return;
+        }
+    }
+    const bool applied = rows_.commit(conditions, writes);
+    if (fault_ == row_store_fault::losing) {
+        server_->abort(exchange);
+    }
+    else {
+        answer(exchange, applied ? status_ok : status_condition_failed, R"({"rows":[]})");
+    }
+    serve_waiting();
+}
+
+void row_store_task::on_feed(http::exchange_id exchange,
+                             const std::map<std::string, std::string>& query)
+{
+    waiting_feed asked{text_at(query, "table"), number_at(query, "after"), {}};
+    if (answer_feed(exchange, asked, false)) {
+        return;
+    }
+    const std::chrono::milliseconds wait{number_at(query, "wait_ms")};
+    asked.timer = loop().run_after(wait, [this, exchange] {
+        if (const auto ended = waiting_.extract(exchange); !ended.empty()) {
+            answer_feed(exchange, ended.mapped(), true);
+        }
+    });
+    waiting_.emplace(exchange, std::move(asked));
+}
+
+bool row_store_task::answer_feed(http::exchange_id exchange, const waiting_feed& asked,
+                                 bool even_empty)
+{
+    const auto changes = rows_.changes(asked.table, asked.after);
+    if (!changes.has_value()) {
+        answer(exchange, status_history_lost, "{}");
+        return true;
+    }
+    if (changes->rows.empty() && !even_empty) {
+        return false;
+    }
+    answer_rows(exchange, *changes);
+    return true;
+}
+
+void row_store_task::serve_waiting()
+{
+    if (fault_ == row_store_fault::silent) {
+        return;
+    }
+    for (auto each = waiting_.begin(); each != waiting_.end();) {
+        if (answer_feed(each->first, each->second, false)) {
+            loop().cancel(each->second.timer);
+            each = waiting_.erase(each);
+        }
+        else {
+            ++each;
+        }
+    }
+}
+
+void row_store_task::answer_rows(http::exchange_id exchange, const replica::table_news& rows)
+{
+    document listed = document::array();
+    for (const replica::row& each : rows.rows) {
+        document row{{"table", rows.table},
+                     {"part", ""},
+                     {"key", each.key},
+                     {"schema_version", each.version}};
+        if (each.removed) {
+            row["deleted"] = true;
+        }
+        else {
+            row["value"] = absl::Base64Escape(each.value);
+        }
+        listed.push_back(std::move(row));
+    }
+    const auto now_ms =
+        std::chrono::duration_cast<std::chrono::milliseconds>(now().time_since_epoch()).count();
+    // A whole read has no more rows; a feed always tells all that has changed.
+    answer(exchange, status_ok,
+           document{{"rows", std::move(listed)},
+                    {"schema_version", rows.version},
+                    {"has_more", !rows.whole && rows.rows.size() == settings_.most_rows},
+                    {"now_ms", now_ms}}
+               .dump());
+}
+
+void row_store_task::answer(http::exchange_id exchange, int status, std::string body)
+{
+    const core::duration delay =
+        settings_.latency * (fault_ == row_store_fault::slow ? slowness : 1);
+    loop().run_after(delay, [this, exchange, status, body = std::move(body)] {
+        if (server_ != nullptr && fault_ != row_store_fault::silent) {
+            server_->respond(exchange,
+                             http::response_head{status, {{"content-type", "application/json"}}},
+                             body);
+        }
+    });
+}
+
+} // namespace cyclamen::standin
--- /dev/null
+++ b/src/standin/row_store_task.hpp
@@ -0,0 +1,110 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "core/socket_address.hpp"
+#include "http/server.hpp"
+#include "standin/row_store.hpp"
+#include "task/basic_task.hpp"
+
+namespace cyclamen::standin {
+
+/// How a stand-in for the users' store is set up.
+struct row_store_settings {
+    const core::socket_address listen;
+    /// Time that every answer takes.
+    const core::duration latency = std::chrono::milliseconds{4};
+    /// Rows of an answer at most.
+    const std::size_t most_rows = 500;
+
+    auto operator<=>(const row_store_settings&) const = default;
+};
+
+/// What is wrong with the store.
+enum class row_store_fault {
+    none,
+    /// Every call is answered with status 503; nothing is done.
+    busy,
+    /// Calls are neither carried out nor answered.
+    silent,
+    /// Connections are refused.
+    down,
+    /// Writes take effect and their connections end without an answer.
+    losing,
+    /// Answers take fifty times as long.
+    slow,
+};
+
+/// Brings a fault about, or ends it.
+struct set_row_store_fault {
+    const row_store_fault kind;
+
+    auto operator<=>(const set_row_store_fault&) const = default;
+};
+
+/// Writes rows as the operator and the runners do, whatever the fault.
+struct write_rows {
+    const std::vector<row_write> writes;
+
+    auto operator<=>(const write_rows&) const = default;
+};
+
+/// Drops the history: followers must read whole tables.
+struct forget_history {
+    auto operator<=>(const forget_history&) const = default;
+};
+
+/// What the stand-in store receives.
+using row_store_message = std::variant<set_row_store_fault, write_rows, forget_history>;
+
+/// A stand-in for the users' store: conditional transactions, reads and feeds of rows.
+class row_store_task final : public task::basic_task<row_store_message>,
+                             private http::server_handler {
+  public:
+    explicit row_store_task(row_store_settings settings);
+    ~row_store_task() override;
+
+    /// @return calls that were answered, by path; called after stop()
+    [[nodiscard]] const std::map<std::string, std::uint64_t>& calls() const { return calls_; }
+
+  private:
+    /// A feed call that waits for a change.
+    struct waiting_feed {
+        std::string table;
+        std::uint64_t after;
+        task::timer_id timer;
+    };
+
+    const row_store_settings settings_;
+    row_store rows_;
+    std::unique_ptr<http::server> server_;
+    row_store_fault fault_ = row_store_fault::none;
+    std::map<http::exchange_id, waiting_feed> waiting_;
+    std::map<std::string, std::uint64_t> calls_;
+
+    absl::Status on_start() override;
+    absl::Status listen();
+    void on_message(const row_store_message& message) override;
+    void on_stop() override;
+    void handle(const set_row_store_fault& command);
+    void handle(const write_rows& command);
+    void handle(const forget_history& command);
+
+    void on_request(http::exchange_id exchange, const http::request& received) override;
+    void on_gone(http::exchange_id exchange) override;
+
+    void on_transaction(http::exchange_id exchange, const http::request& received);
+    void on_feed(http::exchange_id exchange, const std::map<std::string, std::string>& query);
+    bool answer_feed(http::exchange_id exchange, const waiting_feed& asked, bool even_empty);
+    void serve_waiting();
+    void answer_rows(http::exchange_id exchange, const replica::table_news& rows);
+    void answer(http::exchange_id exchange, int status, std::string body);
+};
+
+} // namespace cyclamen::standin
--- a/tests/cli/command_line_test.cpp
+++ b/tests/cli/command_line_test.cpp
@@ -14,6 +14,9 @@
     BOOST_TEST(cli::run({"route", "--config", "no-such-file.json"}) == cli::exit_usage);
     BOOST_TEST(cli::run({"charts", "check", "no-such-folder"}) == cli::exit_usage);
     BOOST_TEST(cli::run({"charts", "dot", "no-such-chart"}) == cli::exit_usage);
+    BOOST_TEST(cli::run({"explain", "r1", "no-such-file.log"}) == cli::exit_usage);
+    BOOST_TEST(cli::run({"explain", "r1", CYCLAMENCOURSE_SOURCE_DIR "/README.md"}) ==
+               cli::exit_failure);
 }
 
 BOOST_AUTO_TEST_CASE(charts_of_the_repository_are_good)
--- /dev/null
+++ b/tests/platform/instance_test.cpp
@@ -0,0 +1,231 @@
+#include "platform/platform_instance.hpp"
+
+#include <sstream>
+#include <thread>
+
+#include <boost/test/unit_test.hpp>
+#include <spdlog/sinks/ostream_sink.h>
+
+#include "core/free_address.hpp"
+#include "explain/story.hpp"
+#include "http/request_task.hpp"
+#include "standin/row_store_task.hpp"
+#include "standin/runner_task.hpp"
+#include "task/channel.hpp"
+
+using namespace cyclamen;
+using namespace std::chrono_literals;
+using standin::runner_fault;
+
+namespace {
+
+core::socket_address free_address()
+{
+    const auto found = core::free_loopback_address();
+    BOOST_REQUIRE(found.ok());
+    return *found;
+}
+
+/// Keeps what is logged while it lives.
+class captured_log {
+  public:
+    captured_log() { core::redirect_log(std::make_shared<spdlog::sinks::ostream_sink_mt>(text_)); }
+    ~captured_log()
+    {
+        core::redirect_log(std::make_shared<spdlog::sinks::ostream_sink_mt>(std::cerr));
+    }
+
+    /// @return the events of a request's story, with a space after each
+    std::string events_of(const std::string& request)
+    {
+        std::istringstream lines{text_.str()};
+        std::string events;
+        for (const auto& each : explain::tell_story(request, {explain::read_log("log", lines)})) {
+            const std::size_t start = each.text.find("event=") + 6;
+            events += each.text.substr(start, each.text.find(' ', start) - start) + " ";
+        }
+        return events;
+    }
+
+  private:
+    std::ostringstream text_;
+};
+
+/// One instance between stand-ins for the store and the runners.
+class platform_world {
+  public:
+    platform_world()
+        : store_address_{free_address()}, store_{standin::row_store_settings{store_address_}}
+    {
+        BOOST_REQUIRE(store_.start().ok());
+        for (int i = 0; i < 3; ++i) {
+            add_runner("engine-" + std::to_string(i), "engines", std::string(1, "abc"[i]));
+        }
+        add_runner("desk-0", "desk", "a");
+        BOOST_REQUIRE(store_.inbox()
+                          ->post(standin::write_rows{
+                              {standin::row_write{"op", "config", configuration, false}}})
+                          .ok());
+        const auto read = platform::decode_settings(instance_settings(), "test");
+        BOOST_REQUIRE_MESSAGE(read.ok(), std::string{read.status().message()});
+        auto started = platform::platform_instance::start(*read, chart::library::embedded(), left_);
+        BOOST_REQUIRE_MESSAGE(started.ok(), std::string{started.status().message()});
+        instance_ = *std::move(started);
+        await_ready();
+    }
+
+    ~platform_world() { instance_->stop(); }
+
+    /// Sends a request and waits for its answer.
+    http::request_result send(const std::string& id, const std::string& path, bool streams)
+    {
+        std::vector<http::header> headers{{"host", "test.example"},
+                                          {"x-cyclamencourse-request-id", id},
+                                          {"x-cyclamencourse-deadline-ms", "5000"}};
+        if (streams) {
+            headers.push_back({"x-cyclamencourse-token-counts", "100,600"});
+            headers.push_back({"x-cyclamencourse-prompt-prefix", "part-" + id + ":100"});
+        }
+        const auto result = http::fetch(entry_, http::request{"POST", path, headers, "body"}, 10s);
+        return result.ok() ? *result : http::request_result{{}, 0, "", "cut"};
+    }
+
+    /// Brings a fault about at all runners of a kind.
+    void harm(const std::string& prefix, runner_fault fault)
+    {
+        for (const auto& [name, runner] : runners_) {
+            if (name.starts_with(prefix)) {
+                BOOST_REQUIRE(runner->inbox()->post(standin::set_runner_fault{fault}).ok());
+            }
+        }
+        std::this_thread::sleep_for(50ms);
+    }
+
+  private:
+    static constexpr const char* configuration = R"({"version":1,"routes":[
+        {"name":"s","host":"test.example","prefix":"/s/","kind":"streaming","timeout_ms":4000,
+         "goal_ms":1500,"priority":1,"backend":"engines","attempts":3,"public":true,
+         "resumable":true,"gap_target_ms":700},
+        {"name":"u","host":"test.example","prefix":"/u/","kind":"unsafe","timeout_ms":800,
+         "goal_ms":300,"priority":2,"backend":"desk","attempts":1,"public":true}],
+        "backends":[{"name":"engines","health_path":"/healthz","engine":{"slots":64,
+          "kv_capacity_tokens":1000000,"backups":true,"moves":false,"models":[{"name":"m"}]}},
+          {"name":"desk","health_path":"/healthz"}],
+        "limits":{"max_header_bytes":16384,"max_body_bytes":100000,"header_timeout_ms":3000,
+                  "idle_timeout_ms":15000}})";
+
+    const core::socket_address store_address_;
+    const core::socket_address entry_ = free_address();
+    const core::socket_address ready_ = free_address();
+    standin::row_store_task store_;
+    std::map<std::string, std::unique_ptr<standin::runner_task>> runners_;
+    std::shared_ptr<task::channel<relay::instance_left>> left_ =
+        std::make_shared<task::channel<relay::instance_left>>();
+    std::unique_ptr<platform::platform_instance> instance_;
+
+    void add_runner(const std::string& name, const std::string& service, const std::string& domain)
+    {
+        const core::socket_address listen = free_address();
+        auto made =
+            std::make_unique<standin::runner_task>(standin::runner_settings{.name = name,
+                                                                            .listen = listen,
+                                                                            .listed = listen,
+                                                                            .service = service,
+                                                                            .domain = domain},
+                                                   nullptr, store_.inbox());
+        BOOST_REQUIRE(made->start().ok());
+        runners_.emplace(name, std::move(made));
+    }
+
+    [[nodiscard]] nlohmann::json instance_settings() const
+    {
+        return nlohmann::json{{"name", "i-0"},
+                              {"failure_domain", "a"},
+                              {"cores", 1},
+                              {"listen",
+                               {{"entry", core::to_string(entry_)},
+                                {"ready", core::to_string(ready_)},
+                                {"directory", core::to_string(free_address())},
+                                {"metrics", core::to_string(free_address())},
+                                {"feed", core::to_string(free_address())}}},
+                              {"store", {{"address", core::to_string(store_address_)}}},
+                              {"retries", {{"ratio", 0.8}, {"slack", 300}, {"window_s", 10}}},
+                              {"limits",
+                               {{"leave_s", 3},
+                                {"target_drain_ms", 2000},
+                                {"configuration_ms", 2000},
+                                {"directory_keep_s", 3}}}};
+    }
+
+    void await_ready()
+    {
+        constexpr int status_ok = 200;
+        for (int i = 0; i < 500; ++i) {
+            const auto answer = http::fetch(ready_, http::request{"GET", "/readyz", {}, ""}, 1s);
+            if (answer.ok() && answer->status == status_ok) {
+                // All rows that were written before are read soon after.
+                std::this_thread::sleep_for(400ms);
+                return;
+            }
+            std::this_thread::sleep_for(10ms);
+        }
+        BOOST_FAIL("the instance was not ready in 5 s");
+    }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(a_stream_outlives_its_engine_and_its_log_says_how)
+{
+    captured_log log;
+    platform_world world;
+    std::thread killer{[&] {
+        std::this_thread::sleep_for(500ms);
+        // Of the three engines one runs the stream and another has its copy.
+        world.harm("engine-0", runner_fault::killed);
+    }};
+    std::size_t whole = 0;
+    for (int i = 0; i < 3; ++i) {
+        const std::string id = "stream-" + std::to_string(i);
+        const auto answer = world.send(id, "/s/x", true);
+        whole += answer.body.find("id: 60\n") != std::string::npos ? 1 : 0;
+        BOOST_TEST(log.events_of(id).find("request_ended") != std::string::npos);
+    }
+    killer.join();
+    BOOST_TEST(whole == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(the_log_explains_a_stream_that_was_cut)
+{
+    captured_log log;
+    platform_world world;
+    world.harm("engine", runner_fault::cutting);
+    const auto answer = world.send("cut-1", "/s/x", true);
+    BOOST_TEST(answer.body.find("id: 60\n") == std::string::npos);
+    const std::string events = log.events_of("cut-1");
+    BOOST_TEST(events.find("target_listed") != std::string::npos);
+    BOOST_TEST(events.find("attempt_opened attempt_lost ") != std::string::npos);
+    BOOST_TEST(events.ends_with("request_ended "));
+}
+
+BOOST_AUTO_TEST_CASE(the_log_explains_an_unsafe_call_that_failed)
+{
+    captured_log log;
+    platform_world world;
+    world.harm("desk", runner_fault::losing);
+    constexpr int status_bad_gateway = 502;
+    BOOST_TEST(world.send("call-1", "/u/x", false).status == status_bad_gateway);
+    BOOST_TEST(log.events_of("call-1").ends_with("attempt_opened attempt_lost request_ended "));
+}
+
+BOOST_AUTO_TEST_CASE(the_log_explains_a_refusal_while_runners_looked_free)
+{
+    captured_log log;
+    platform_world world;
+    world.harm("desk", runner_fault::shedding);
+    constexpr int status_unavailable = 503;
+    BOOST_TEST(world.send("call-2", "/u/x", false).status == status_unavailable);
+    const std::string events = log.events_of("call-2");
+    BOOST_TEST(events.find("attempt_opened attempt_rejected ") != std::string::npos);
+    BOOST_TEST(events.ends_with("request_ended "));
+}
--- /dev/null
+++ b/tests/soak/verdict_test.cpp
@@ -0,0 +1,139 @@
+#include "soak/verdict.hpp"
+
+#include <optional>
+
+#include <boost/test/unit_test.hpp>
+
+#include "core/text.hpp"
+
+using namespace cyclamen;
+using namespace std::chrono_literals;
+using soak::call_kind;
+using soak::call_record;
+using standin::runner_report;
+
+namespace {
+
+constexpr core::instant start{};
+
+struct call_parts {
+    call_kind kind = call_kind::unsafe;
+    int status = 200;
+    std::string body = standin::content_of("r1", 0);
+    bool whole = true;
+    bool left = false;
+    std::uint64_t after = 0;
+    std::uint64_t revision = 1;
+    core::duration ended = 100ms;
+    std::string seal = "s";
+    std::string answered = "r1";
+};
+
+call_record call(const call_parts& parts)
+{
+    return call_record{"r1",
+                       parts.kind,
+                       "r1",
+                       0,
+                       1,
+                       parts.revision,
+                       parts.after,
+                       start,
+                       start + parts.ended,
+                       parts.status,
+                       parts.answered,
+                       parts.seal,
+                       parts.body,
+                       parts.whole,
+                       parts.left};
+}
+
+runner_report report(runner_report::event what, core::duration at, bool from_copy = false)
+{
+    return runner_report{what, "runner-0", "r1", "/u/x", "soaker", from_copy, 0, start + at};
+}
+
+std::size_t count(const std::vector<call_record>& calls, const std::vector<runner_report>& reports,
+                  const std::vector<soak::disturbance>& disturbances = {})
+{
+    return soak::find_violations(soak::evidence{calls, reports, disturbances}, {}).size();
+}
+
+std::string events(std::uint64_t first, std::uint64_t last)
+{
+    std::string text;
+    for (std::uint64_t i = first; i <= last; ++i) {
+        core::append(text, "id: ", i, "\ndata: ", standin::content_of("r1", i), "\n\n");
+    }
+    return text;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(a_good_call_breaks_nothing)
+{
+    BOOST_TEST(count({call({})}, {report(runner_report::event::began, 10ms),
+                                  report(runner_report::event::ended, 50ms)}) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(answers_that_are_wrong_mixed_or_unsigned_are_found)
+{
+    BOOST_TEST(count({call({.body = "other"})}, {}) == 1U);
+    BOOST_TEST(count({call({.seal = ""})}, {}) == 1U);
+    BOOST_TEST(count({call({.answered = "r2"})}, {}) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_must_be_in_order_and_end_only_at_its_end)
+{
+    const auto stream = [](const std::string& body, bool whole, std::uint64_t after = 0) {
+        return call({.kind = call_kind::stream, .body = body, .whole = whole, .after = after});
+    };
+    BOOST_TEST(count({stream(events(1, 60), true)}, {}) == 0U);
+    BOOST_TEST(count({stream(events(1, 20), false)}, {}) == 0U);
+    BOOST_TEST(count({stream(events(21, 60), true, 20)}, {}) == 0U);
+    BOOST_TEST(count({stream(events(1, 20), true)}, {}) == 1U);
+    BOOST_TEST(count({stream(events(1, 5) + events(5, 9), false)}, {}) == 1U);
+    BOOST_TEST(count({stream(events(1, 5) + events(7, 9), false)}, {}) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_second_run_and_a_false_refusal_are_found)
+{
+    const auto began = report(runner_report::event::began, 10ms);
+    const auto ended = report(runner_report::event::ended, 20ms);
+    BOOST_TEST(count({call({})}, {began, ended, began, ended}) == 1U);
+    BOOST_TEST(count({call({.status = 503})}, {began, ended}) == 1U);
+    BOOST_TEST(count({call({.status = 502})}, {began, ended}) == 0U);
+    BOOST_TEST(count({call({.status = 503})}, {}) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(a_run_ends_soon_after_its_caller_has_left)
+{
+    const auto began = report(runner_report::event::began, 10ms);
+    const std::vector<call_record> left{call({.status = 0, .whole = false, .left = true})};
+    BOOST_TEST(count(left, {began, report(runner_report::event::left, 300ms)}) == 0U);
+    BOOST_TEST(count(left, {began, report(runner_report::event::left, 700ms)}) == 1U);
+    BOOST_TEST(count(left, {began}, {soak::disturbance{start, start + 50ms}}) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(a_leaving_runner_gets_nothing_after_its_time)
+{
+    const auto leaving = report(runner_report::event::leaving, 0ms);
+    BOOST_TEST(count({}, {leaving, report(runner_report::event::began, 1900ms)}) == 0U);
+    BOOST_TEST(count({}, {leaving, report(runner_report::event::began, 2100ms)}) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_process_that_knew_a_revision_must_go_on_knowing_it)
+{
+    const auto probe = [](std::uint64_t revision, int status, core::duration ended) {
+        call_record made = call(
+            {.kind = call_kind::probe, .status = status, .revision = revision, .ended = ended});
+        return call_record{made.id,      made.kind,     made.seed,        made.instance,
+                           made.process, made.revision, made.after,       start + ended - 10ms,
+                           made.ended,   made.status,   made.answered_id, made.seal,
+                           made.body,    made.whole,    made.left};
+    };
+    BOOST_TEST(count({probe(2, 404, 50ms), probe(2, 200, 100ms)}, {}) == 0U);
+    BOOST_TEST(count({probe(2, 200, 100ms), probe(3, 404, 200ms)}, {}) == 0U);
+    BOOST_TEST(count({probe(2, 200, 100ms), probe(2, 404, 200ms)}, {}) == 1U);
+    BOOST_TEST(count({probe(2, 200, 100ms), probe(1, 404, 200ms)}, {}) == 1U);
+}
