All tasks of an instance share one thread

Cause: each event of a stream crossed three threads on its way from engine to caller; every hop cost a wake-up through a descriptor and a switch.

Change: the tasks of the own front run on a task_host, as those of the relay do; the constructors of the seven tasks take a host, and keep a thread of their own without one.

--- a/src/http/back_task.cpp
+++ b/src/http/back_task.cpp
@@ -39,9 +39,9 @@
 
 } // namespace
 
-back_task::back_task(task::outbox_ptr<api::engine_event> decisions)
-    : basic_task{"back"}, decisions_{std::move(decisions), loop()}, stream_prefix_{
-                                                                        make_stream_prefix()}
+back_task::back_task(task::outbox_ptr<api::engine_event> decisions, task::task_host* host)
+    : basic_task{"back", host}, decisions_{std::move(decisions), loop()}, stream_prefix_{
+                                                                              make_stream_prefix()}
 {
 }
 
--- a/src/http/back_task.hpp
+++ b/src/http/back_task.hpp
@@ -18,7 +18,9 @@
 class back_task final : public task::basic_task<api::engine_command>, private client_listener {
   public:
     /// @param decisions inbox of the decision task
-    explicit back_task(task::outbox_ptr<api::engine_event> decisions);
+    /// @param host thread that the task runs on, null for one of its own
+    explicit back_task(task::outbox_ptr<api::engine_event> decisions,
+                       task::task_host* host = nullptr);
     ~back_task() override;
 
   private:
--- a/src/http/front_task.cpp
+++ b/src/http/front_task.cpp
@@ -36,8 +36,10 @@
 
 } // namespace
 
-front_task::front_task(front_settings settings, task::outbox_ptr<api::front_event> decisions)
-    : basic_task{"front"}, settings_{std::move(settings)}, decisions_{std::move(decisions), loop()}
+front_task::front_task(front_settings settings, task::outbox_ptr<api::front_event> decisions,
+                       task::task_host* host)
+    : basic_task{"front", host}, settings_{std::move(settings)}, decisions_{std::move(decisions),
+                                                                            loop()}
 {
 }
 
--- a/src/http/front_task.hpp
+++ b/src/http/front_task.hpp
@@ -29,7 +29,9 @@
   public:
     /// @param settings how it is set up
     /// @param decisions inbox of the decision task
-    front_task(front_settings settings, task::outbox_ptr<api::front_event> decisions);
+    /// @param host thread that the task runs on, null for one of its own
+    front_task(front_settings settings, task::outbox_ptr<api::front_event> decisions,
+               task::task_host* host = nullptr);
     ~front_task() override;
 
   private:
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -66,10 +66,11 @@
     absl::Status listen(const core::socket_address& address)
     {
         auto acceptor = tcp_acceptor::listen(loop_, address, *this);
-        if (acceptor.ok()) {
-            acceptor_ = *std::move(acceptor);
+        if (!acceptor.ok()) {
+            return acceptor.status();
         }
-        return acceptor.status();
+        acceptor_ = *std::move(acceptor);
+        return absl::OkStatus();
     }
 
     void set_settings(const server_settings& settings) { settings_.set(settings); }
--- a/src/http/service_task.cpp
+++ b/src/http/service_task.cpp
@@ -5,8 +5,8 @@
 
 namespace cyclamen::http {
 
-service_task::service_task(task::outbox_ptr<api::service_event> decisions)
-    : basic_task{"services"}, decisions_{std::move(decisions), loop()}
+service_task::service_task(task::outbox_ptr<api::service_event> decisions, task::task_host* host)
+    : basic_task{"services", host}, decisions_{std::move(decisions), loop()}
 {
 }
 
--- a/src/http/service_task.hpp
+++ b/src/http/service_task.hpp
@@ -15,7 +15,9 @@
 class service_task final : public task::basic_task<api::service_command>, private client_listener {
   public:
     /// @param decisions inbox of the decision task
-    explicit service_task(task::outbox_ptr<api::service_event> decisions);
+    /// @param host thread that the task runs on, null for one of its own
+    explicit service_task(task::outbox_ptr<api::service_event> decisions,
+                          task::task_host* host = nullptr);
     ~service_task() override;
 
   private:
--- a/src/http/status_task.cpp
+++ b/src/http/status_task.cpp
@@ -11,8 +11,8 @@
 
 } // namespace
 
-status_task::status_task(task::outbox_ptr<api::target_event> decisions)
-    : basic_task{"status"}, decisions_{std::move(decisions), loop()}
+status_task::status_task(task::outbox_ptr<api::target_event> decisions, task::task_host* host)
+    : basic_task{"status", host}, decisions_{std::move(decisions), loop()}
 {
 }
 
--- a/src/http/status_task.hpp
+++ b/src/http/status_task.hpp
@@ -17,7 +17,9 @@
 class status_task final : public task::basic_task<api::target_command>, private client_listener {
   public:
     /// @param decisions inbox of the decision task
-    explicit status_task(task::outbox_ptr<api::target_event> decisions);
+    /// @param host thread that the task runs on, null for one of its own
+    explicit status_task(task::outbox_ptr<api::target_event> decisions,
+                         task::task_host* host = nullptr);
     ~status_task() override;
 
   private:
--- a/src/instance/decision_task.cpp
+++ b/src/instance/decision_task.cpp
@@ -4,8 +4,8 @@
 
 namespace cyclamen::instance {
 
-decision_task::decision_task(model::configuration_ptr declarations)
-    : basic_task{"decisions"}, configuration_{std::move(declarations)}
+decision_task::decision_task(model::configuration_ptr declarations, task::task_host* host)
+    : basic_task{"decisions", host}, configuration_{std::move(declarations)}
 {
 }
 
--- a/src/instance/decision_task.hpp
+++ b/src/instance/decision_task.hpp
@@ -15,7 +15,8 @@
 class decision_task final : public task::basic_task<decision_message> {
   public:
     /// @param declarations configuration to start with
-    explicit decision_task(model::configuration_ptr declarations);
+    /// @param host thread that the task runs on, null for one of its own
+    explicit decision_task(model::configuration_ptr declarations, task::task_host* host = nullptr);
     ~decision_task() override;
 
     /// @return the event loop, for the senders of the components; made before start()
--- a/src/instance/instance.cpp
+++ b/src/instance/instance.cpp
@@ -42,14 +42,15 @@
 
 std::unique_ptr<peer::peer_task> make_peers(const settings::instance_settings& settings,
                                             core::incarnation life,
-                                            task::outbox_ptr<api::peer_event> decisions)
+                                            task::outbox_ptr<api::peer_event> decisions,
+                                            task::task_host& host)
 {
     if (!settings.peers.listen.has_value()) {
         return nullptr;
     }
     return std::make_unique<peer::peer_task>(
         peer::peer_settings{settings.name, life, *settings.peers.listen, settings.peers.keys},
-        std::move(decisions));
+        std::move(decisions), &host);
 }
 
 api::member self_of(const settings::instance_settings& settings, core::incarnation life)
@@ -85,14 +86,15 @@
 }
 
 instance::instance(const settings::instance_settings& settings)
-    : settings_{settings}, life_{new_life()}, decisions_{settings_.declarations},
+    : settings_{settings}, life_{new_life()}, decisions_{settings_.declarations, &host_},
       front_{http::front_settings{settings_.listen, settings_.most_body_bytes},
-             task::narrow<api::front_event>(decisions_.inbox())},
-      back_{task::narrow<api::engine_event>(decisions_.inbox())},
-      status_{task::narrow<api::target_event>(decisions_.inbox())},
-      peers_{make_peers(settings_, life_, task::narrow<api::peer_event>(decisions_.inbox()))},
-      platform_{settings_.platform, task::narrow<api::table_event>(decisions_.inbox())},
-      services_{task::narrow<api::service_event>(decisions_.inbox())},
+             task::narrow<api::front_event>(decisions_.inbox()), &host_},
+      back_{task::narrow<api::engine_event>(decisions_.inbox()), &host_},
+      status_{task::narrow<api::target_event>(decisions_.inbox()), &host_},
+      peers_{
+          make_peers(settings_, life_, task::narrow<api::peer_event>(decisions_.inbox()), host_)},
+      platform_{settings_.platform, task::narrow<api::table_event>(decisions_.inbox()), &host_},
+      services_{task::narrow<api::service_event>(decisions_.inbox()), &host_},
       out_{{front_.inbox(), decisions_.sender_loop()},
            {back_.inbox(), decisions_.sender_loop()},
            {peers_inbox(), decisions_.sender_loop()},
@@ -187,26 +189,16 @@
 
 absl::Status instance::start_tasks()
 {
-    absl::Status status = decisions_.start();
-    if (status.ok()) {
-        status = platform_.start();
-    }
-    if (status.ok()) {
-        status = services_.start();
-    }
-    if (status.ok()) {
-        status = back_.start();
-    }
-    if (status.ok()) {
-        status = status_.start();
-    }
-    if (status.ok() && peers_ != nullptr) {
-        status = peers_->start();
-    }
-    if (status.ok()) {
-        status = front_.start();
+    host_.add(decisions_);
+    host_.add(platform_);
+    host_.add(services_);
+    host_.add(back_);
+    host_.add(status_);
+    if (peers_ != nullptr) {
+        host_.add(*peers_);
     }
-    return status;
+    host_.add(front_);
+    return host_.start();
 }
 
 void instance::request_stop()
@@ -227,22 +219,12 @@
 
 void instance::stop()
 {
-    front_.stop();
-    status_.stop();
-    back_.stop();
-    services_.stop();
-    if (peers_ != nullptr) {
-        peers_->stop();
-    }
-    platform_.stop();
-    decisions_.stop();
+    host_.stop();
 }
 
 core::duration instance::processor_time() const
 {
-    return front_.processor_time() + back_.processor_time() + platform_.processor_time() +
-           status_.processor_time() + services_.processor_time() + decisions_.processor_time() +
-           (peers_ != nullptr ? peers_->processor_time() : core::duration::zero());
+    return host_.processor_time();
 }
 
 } // namespace cyclamen::instance
--- a/src/instance/instance.hpp
+++ b/src/instance/instance.hpp
@@ -21,6 +21,7 @@
 #include "settings/instance_settings.hpp"
 #include "table/table_task.hpp"
 #include "task/channel.hpp"
+#include "task/task_host.hpp"
 
 namespace cyclamen::instance {
 
@@ -58,6 +59,8 @@
 
     const settings::instance_settings settings_;
     const core::incarnation life_;
+    /// All tasks share its thread: an event goes from engine to caller in one round of its loop.
+    task::task_host host_;
     decision_task decisions_;
     http::front_task front_;
     http::back_task back_;
--- a/src/peer/peer_task.cpp
+++ b/src/peer/peer_task.cpp
@@ -30,8 +30,9 @@
 
 } // namespace
 
-peer_task::peer_task(peer_settings settings, task::outbox_ptr<api::peer_event> decisions)
-    : basic_task{"peers"}, settings_{std::move(settings)},
+peer_task::peer_task(peer_settings settings, task::outbox_ptr<api::peer_event> decisions,
+                     task::task_host* host)
+    : basic_task{"peers", host}, settings_{std::move(settings)},
       decisions_{std::move(decisions), loop()}, context_{io_threads}
 {
 }
--- a/src/peer/peer_task.hpp
+++ b/src/peer/peer_task.hpp
@@ -23,7 +23,9 @@
   public:
     /// @param settings how it is set up
     /// @param decisions inbox of the decision task
-    peer_task(peer_settings settings, task::outbox_ptr<api::peer_event> decisions);
+    /// @param host thread that the task runs on, null for one of its own
+    peer_task(peer_settings settings, task::outbox_ptr<api::peer_event> decisions,
+              task::task_host* host = nullptr);
     ~peer_task() override;
 
   private:
--- a/src/replica/replica_task.cpp
+++ b/src/replica/replica_task.cpp
@@ -150,13 +150,13 @@
                        : absl::StatusOr<feed_answer>{absl::UnavailableError("no answer")};
     if (decoded.ok()) {
         answer_ = std::make_unique<const feed_answer>(*std::move(decoded));
+        source_.raise(source_event::reader_answered, now());
     }
     else {
         core::log_event(core::log_level::debug, "reader_refused",
                         {{"status", ended->status}, {"reason", std::string{status.message()}}});
+        source_.raise(source_event::reader_failed, now());
     }
-    source_.raise(decoded.ok() ? source_event::reader_answered : source_event::reader_failed,
-                  now());
     serve_waiting();
     arm_timer();
 }
--- a/src/table/table_task.cpp
+++ b/src/table/table_task.cpp
@@ -4,9 +4,10 @@
 
 namespace cyclamen::table {
 
-table_task::table_task(platform_settings settings, task::outbox_ptr<api::table_event> decisions)
-    : basic_task{"platform"}, settings_{std::move(settings)}, decisions_{std::move(decisions),
-                                                                         loop()}
+table_task::table_task(platform_settings settings, task::outbox_ptr<api::table_event> decisions,
+                       task::task_host* host)
+    : basic_task{"platform", host}, settings_{std::move(settings)}, decisions_{std::move(decisions),
+                                                                               loop()}
 {
 }
 
--- a/src/table/table_task.hpp
+++ b/src/table/table_task.hpp
@@ -30,7 +30,9 @@
   public:
     /// @param settings how the platform is reached
     /// @param decisions inbox of the decision task
-    table_task(platform_settings settings, task::outbox_ptr<api::table_event> decisions);
+    /// @param host thread that the task runs on, null for one of its own
+    table_task(platform_settings settings, task::outbox_ptr<api::table_event> decisions,
+               task::task_host* host = nullptr);
     ~table_task() override;
 
   private:
--- a/src/task/basic_task.hpp
+++ b/src/task/basic_task.hpp
@@ -45,6 +45,20 @@
     {
     }
 
+    /// The same, or a task with a thread of its own where there is no host.
+    /// @param task_name name for logs and error messages
+    /// @param host null for none
+    basic_task(std::string task_name, task_host* host)
+        : name_{std::move(task_name)}, own_host_{host == nullptr ? std::make_unique<task_host>()
+                                                                 : nullptr},
+          loop_{host == nullptr ? own_host_->loop() : host->loop()},
+          mailbox_{std::make_shared<mailbox<Message>>(name_, default_mailbox_capacity)}
+    {
+        if (own_host_ != nullptr) {
+            own_host_->add(*this);
+        }
+    }
+
     ~basic_task() override
     {
         assert((own_host_ == nullptr || !own_host_->is_running()) &&
--- a/tests/platform/instance_test.cpp
+++ b/tests/platform/instance_test.cpp
@@ -6,11 +6,11 @@
 #include <boost/test/unit_test.hpp>
 #include <spdlog/sinks/ostream_sink.h>
 
-#include "core/free_address.hpp"
 #include "explain/story.hpp"
 #include "http/request_task.hpp"
 #include "standin/row_store_task.hpp"
 #include "standin/runner_task.hpp"
+#include "support/ports.hpp"
 #include "task/channel.hpp"
 
 using namespace cyclamen;
@@ -19,13 +19,6 @@
 
 namespace {
 
-core::socket_address free_address()
-{
-    const auto found = core::free_loopback_address();
-    BOOST_REQUIRE(found.ok());
-    return *found;
-}
-
 /// Keeps what is logged while it lives.
 class captured_log {
   public:
@@ -55,7 +48,7 @@
 class platform_world {
   public:
     platform_world()
-        : store_address_{free_address()}, store_{standin::row_store_settings{store_address_}}
+        : store_address_{test::free_address()}, store_{standin::row_store_settings{store_address_}}
     {
         BOOST_REQUIRE(store_.start().ok());
         for (int i = 0; i < 3; ++i) {
@@ -115,8 +108,8 @@
                   "idle_timeout_ms":15000}})";
 
     const core::socket_address store_address_;
-    const core::socket_address entry_ = free_address();
-    const core::socket_address ready_ = free_address();
+    const core::socket_address entry_ = test::free_address();
+    const core::socket_address ready_ = test::free_address();
     standin::row_store_task store_;
     std::map<std::string, std::unique_ptr<standin::runner_task>> runners_;
     std::shared_ptr<task::channel<relay::instance_left>> left_ =
@@ -125,7 +118,7 @@
 
     void add_runner(const std::string& name, const std::string& service, const std::string& domain)
     {
-        const core::socket_address listen = free_address();
+        const core::socket_address listen = test::free_address();
         auto made =
             std::make_unique<standin::runner_task>(standin::runner_settings{.name = name,
                                                                             .listen = listen,
@@ -145,9 +138,9 @@
                               {"listen",
                                {{"entry", core::to_string(entry_)},
                                 {"ready", core::to_string(ready_)},
-                                {"directory", core::to_string(free_address())},
-                                {"metrics", core::to_string(free_address())},
-                                {"feed", core::to_string(free_address())}}},
+                                {"directory", core::to_string(test::free_address())},
+                                {"metrics", core::to_string(test::free_address())},
+                                {"feed", core::to_string(test::free_address())}}},
                               {"store", {{"address", core::to_string(store_address_)}}},
                               {"retries", {{"ratio", 0.8}, {"slack", 300}, {"window_s", 10}}},
                               {"limits",
--- a/tests/replica/replica_task_test.cpp
+++ b/tests/replica/replica_task_test.cpp
@@ -56,7 +56,8 @@
 
     void tell(replica::replica_message message)
     {
-        BOOST_REQUIRE(task_.inbox()->post(std::move(message)).ok());
+        const absl::Status posted = task_.inbox()->post(std::move(message));
+        BOOST_REQUIRE(posted.ok());
     }
 
     void tell_store(const std::string& table, std::uint64_t version, bool whole,
