Soak: a caller no longer uses a connection that it has given up

A connection that a caller gives up is destroyed a moment later, and bytes that came in between were read from it.

Change: what such a connection hears is dropped.

--- a/src/soak/caller_task.cpp
+++ b/src/soak/caller_task.cpp
@@ -135,10 +135,19 @@
         return text;
     }
 
-    void on_connected() override { stream_->start_reading(); }
+    void on_connected() override
+    {
+        if (stream_ != nullptr) {
+            stream_->start_reading();
+        }
+    }
 
     void on_bytes() override
     {
+        if (stream_ == nullptr) {
+            // The connection was given up and waits for its end.
+            return;
+        }
         if (!call_.has_value()) {
             // Nothing was asked: an answer now would belong to another request.
             owner_.record(call_record{"none", call_kind::safe, "", instance_, 0, 0, 0, owner_.now(),
@@ -159,6 +168,9 @@
 
     void on_end(http::stream_end end_kind) override
     {
+        if (stream_ == nullptr) {
+            return;
+        }
         ended_ = true;
         if (!call_.has_value()) {
             close();
