Read-through: one due timer, one question sender, one part_of; the soak runs on an event loop

Found in reading the whole change again; behaviour stays.

- relay, replica and store task had the same timer with its due instant: task::due_timer serves all three.
- The replica and the store task each collected head and body of an answer and gave calls up: both use question_sender, which moves from platform/ to src/http, takes no limit where its owner watches the time, and can give a question up.
- part_of stood in relayed_request.cpp and settings.cpp and, written out, in two more files: core::part_of.
The names of log levels stood in both settings decoders: core::parse_log_level.
- basic_task had three constructors, two of which differed in a reference and a pointer: two, one of which calls the other.
- The soak kept a queue of timers of its own and slept between looks: it uses task::event_loop. child_process::wait and a check that could not fail are gone.

--- a/src/core/log.cpp
+++ b/src/core/log.cpp
@@ -42,6 +42,17 @@
 
 } // namespace
 
+log_level parse_log_level(std::string_view text)
+{
+    if (text == "debug") {
+        return log_level::debug;
+    }
+    if (text == "warning") {
+        return log_level::warning;
+    }
+    return text == "error" ? log_level::error : log_level::info;
+}
+
 void redirect_log(std::shared_ptr<spdlog::sinks::sink> sink)
 {
     sink->set_pattern(line_pattern);
--- a/src/core/log.hpp
+++ b/src/core/log.hpp
@@ -33,6 +33,10 @@
 
 enum class log_level { debug, info, warning, error };
 
+/// @param text debug, info, warning or error
+/// @return the level of that name, info where there is none
+[[nodiscard]] log_level parse_log_level(std::string_view text);
+
 /// Sets the lowest level that is written and the start of every line.
 /// @param lowest level below which events are left out
 void configure_log(log_level lowest);
--- a/src/core/time.hpp
+++ b/src/core/time.hpp
@@ -30,4 +30,10 @@
     return std::chrono::duration_cast<duration>(std::chrono::duration<double>(seconds));
 }
 
+/// @return the part of a duration
+[[nodiscard]] constexpr duration part_of(duration whole, double part)
+{
+    return from_seconds(to_seconds(whole) * part);
+}
+
 } // namespace cyclamen::core
--- a/platform/question_sender.hpp
+++ b/src/http/question_sender.hpp
@@ -11,11 +11,11 @@
 #include "core/cell.hpp"
 #include "http/client.hpp"
 
-namespace cyclamen::platform {
+namespace cyclamen::http {
 
 /// Answer to a question.
 struct question_answer {
-    const http::response_head head;
+    const response_head head;
     const std::string body;
 
     auto operator<=>(const question_answer&) const = default;
@@ -23,7 +23,7 @@
 
 /// Sends requests whose whole answer is waited for, each with a limit. Used by one task, on its
 /// thread.
-class question_sender final : private http::client_listener {
+class question_sender final : private client_listener {
   public:
     /// Hears the answer once: deadline_exceeded where the limit has passed, unavailable where the
     /// exchange failed.
@@ -31,33 +31,37 @@
 
     /// @param loop event loop of the owning task
     /// @param connections limits of connections
-    question_sender(task::event_loop& loop, const http::client_settings& connections);
+    question_sender(task::event_loop& loop, const client_settings& connections);
     ~question_sender() override;
 
     /// @param address where to ask
     /// @param asked the question
-    /// @param limit longest time until the whole answer
+    /// @param limit longest time until the whole answer, empty where the owner watches the time
     /// @param heard hears the answer; never called from within ask()
-    void ask(const core::socket_address& address, const http::request& asked, core::duration limit,
-             listener heard);
+    /// @return the question, for cancel()
+    exchange_id ask(const core::socket_address& address, const request& asked,
+                    std::optional<core::duration> limit, listener heard);
+
+    /// Gives a question up; nothing is heard of it. No effect where it has ended.
+    void cancel(exchange_id question);
 
   private:
     struct open_question {
         listener heard;
         task::timer_id timer;
-        std::optional<core::cell<http::response_head>> head;
+        std::optional<core::cell<response_head>> head;
         std::string body;
     };
 
     task::event_loop& loop_;
-    http::client client_;
-    std::map<http::exchange_id, std::unique_ptr<open_question>> questions_;
-    http::exchange_id last_exchange_;
-
-    void on_head(http::exchange_id exchange, const http::response_head& head) override;
-    void on_body(http::exchange_id exchange, std::string_view bytes) override;
-    void on_end(http::exchange_id exchange, bool sent, const absl::Status& status) override;
-    void on_limit(http::exchange_id exchange);
+    client client_;
+    std::map<exchange_id, std::unique_ptr<open_question>> questions_;
+    exchange_id last_exchange_;
+
+    void on_head(exchange_id exchange, const response_head& head) override;
+    void on_body(exchange_id exchange, std::string_view bytes) override;
+    void on_end(exchange_id exchange, bool sent, const absl::Status& status) override;
+    void on_limit(exchange_id exchange);
 };
 
-} // namespace cyclamen::platform
+} // namespace cyclamen::http
--- a/src/relay/relay_task.cpp
+++ b/src/relay/relay_task.cpp
@@ -5,7 +5,11 @@
 namespace cyclamen::relay {
 
 relay_task::relay_task(task::task_host& host, relay_settings settings, relay_charts charts)
-    : basic_task{"relay", host}, settings_{std::move(settings)}, charts_{std::move(charts)}
+    : basic_task{"relay", &host}, settings_{std::move(settings)}, charts_{std::move(charts)},
+      timer_{loop(), [this] {
+                 manager_->on_time(now());
+                 timer_.set(manager_->next_due());
+             }}
 {
 }
 
@@ -23,38 +27,22 @@
         settings_, charts_, std::make_unique<least_work_chooser>(settings_.placement),
         static_cast<relay_host&>(*this));
     manager_->start(now());
-    arm_timer();
+    timer_.set(manager_->next_due());
     return absl::OkStatus();
 }
 
 void relay_task::on_message(const relay_message& message)
 {
     manager_->handle(message, now());
-    arm_timer();
+    timer_.set(manager_->next_due());
 }
 
 void relay_task::on_stop()
 {
-    loop().cancel(timer_);
+    timer_.cancel();
     manager_.reset();
 }
 
-void relay_task::arm_timer()
-{
-    const auto due = manager_->next_due();
-    // A timer that ends too early only looks again.
-    if (!due.has_value() || (timer_due_.has_value() && *timer_due_ <= *due)) {
-        return;
-    }
-    loop().cancel(timer_);
-    timer_due_ = due;
-    timer_ = loop().run_at(*due, [this] {
-        timer_due_.reset();
-        manager_->on_time(now());
-        arm_timer();
-    });
-}
-
 void relay_task::send(entry_command command)
 {
     entries_->send(std::move(command));
--- /dev/null
+++ b/src/relay/relayed_request_placement.cpp
@@ -0,0 +1,146 @@
+#include "core/log.hpp"
+#include "relay/relayed_request.hpp"
+
+/// @file
+/// Where the attempts of a request and the copies of its memory go.
+
+namespace cyclamen::relay {
+
+placement_query relayed_request::make_query() const
+{
+    const bool wants_standby = plan_.engine.has_value() && plan_.engine->copies_memory &&
+                               plan_.way.kind == request_kind::streaming;
+    return placement_query{plan_.service,
+                           plan_.submitted.prompt_tokens,
+                           plan_.engine.has_value() ? plan_.submitted.prompt_key : std::string{},
+                           tried_,
+                           lost_domain_,
+                           copy_at_,
+                           wants_standby,
+                           loads_};
+}
+
+void relayed_request::seek_target()
+{
+    loads_.clear();
+    asked_.clear();
+    // A copy is where it is, and plain services report no load.
+    if (plan_.engine.has_value() && !copy_at_.has_value()) {
+        for (const target_record& each : host_.survey(make_query())) {
+            asked_.emplace(each.name, each);
+        }
+        follow_up_ =
+            asked_.empty() ? request_event::target_missing : request_event::candidates_found;
+        return;
+    }
+    const auto found = host_.place(make_query());
+    if (!found.has_value()) {
+        follow_up_ = request_event::target_missing;
+        return;
+    }
+    placed_.emplace(*found);
+    follow_up_ = request_event::target_found;
+}
+
+void relayed_request::ask_candidates()
+{
+    for (const auto& [name, each] : asked_) {
+        host_.send(relay::ask_target{plan_.number, name, each.address});
+    }
+}
+
+void relayed_request::choose_candidate()
+{
+    for (const auto& [name, each] : asked_) {
+        core::log_event(core::log_level::info, "survey_unanswered",
+                        {{"request", plan_.submitted.content->id}, {"target", name.str()}});
+        host_.on_loss(name);
+    }
+    asked_.clear();
+    placed_.emplace(*host_.place(make_query()));
+}
+
+void relayed_request::open()
+{
+    attempt_ = attempt_.next();
+    attempt_has_events_ = false;
+    attempt_sent_ = true;
+    const placement& placed = placed_->get();
+    if (offers_ > 0) {
+        host_.count_repeat(plan_.service);
+    }
+    ++offers_;
+    // Counted until the target says that it hasn't run it, or can't have received it.
+    ++runs_;
+    core::log_event(core::log_level::info, "attempt_opened",
+                    {{"request", plan_.submitted.content->id},
+                     {"attempt", attempt_.value()},
+                     {"target", placed.target.name.str()},
+                     {"domain", placed.target.domain.str()},
+                     {"standby", placed.standby.has_value() ? placed.standby->name.str() : "none"},
+                     {"from_copy", placed.from_copy},
+                     {"last_event", last_event_.value_or("none")},
+                     {"after_ms", core::to_milliseconds(now_ - plan_.accepted)}});
+    host_.on_opened(placed, plan_.submitted.prompt_tokens);
+    host_.send(relay::open_attempt{
+        attempt_id{plan_.number, attempt_}, placed.target.name, placed.target.address,
+        plan_.submitted.content, answer_due() - now_, plan_.account, last_event_,
+        placed.standby.has_value() ? std::optional{placed.standby->address} : std::nullopt,
+        placed.from_copy ? std::optional{copy_->get()} : std::nullopt});
+    if (placed.standby.has_value()) {
+        protection_ = std::make_unique<run_protection>(
+            run_copy{placed.standby->address, plan_.submitted.content->id}, plan_.engine->copy_keep,
+            settings_.protection, protection_chart_, static_cast<protection_host&>(*this));
+        protection_->start(now_);
+    }
+}
+
+void relayed_request::release_attempt()
+{
+    if (placed_.has_value()) {
+        host_.on_closed(placed_->get(), attempt_has_events_ ? 0 : plan_.submitted.prompt_tokens);
+        placed_.reset();
+        protection_.reset();
+    }
+}
+
+bool relayed_request::seek_standby()
+{
+    // What has not begun to run has no memory to copy.
+    if (!attempt_has_events_ || !plan_.engine->moves_memory) {
+        return false;
+    }
+    const placement former = placed_->get();
+    placement_query query = make_query();
+    std::set<core::target_name> tried = tried_;
+    if (former.standby.has_value()) {
+        tried.insert(former.standby->name);
+    }
+    const auto found = host_.find_standby(
+        placement_query{query.service,
+                        query.prompt_tokens,
+                        query.prompt_key,
+                        std::move(tried),
+                        former.standby.has_value() ? std::optional{former.standby->domain}
+                                                   : lost_domain_,
+                        {},
+                        true,
+                        {}},
+        former.target);
+    if (!found.has_value()) {
+        return false;
+    }
+    host_.on_standby_changed(former.standby, *found);
+    placed_->set(placement{former.target, found, former.from_copy});
+    return true;
+}
+
+void relayed_request::copy_run()
+{
+    const placement& placed = placed_->get();
+    host_.send(relay::copy_run{attempt_id{plan_.number, attempt_}, plan_.submitted.content->id,
+                               placed.target.address, placed.standby->name,
+                               placed.standby->address});
+}
+
+} // namespace cyclamen::relay
--- a/src/relay/run_protection.cpp
+++ b/src/relay/run_protection.cpp
@@ -101,7 +101,7 @@
         length = settings_.copy_limit;
         break;
     case protection_timeout::renewal_pause:
-        length = core::from_seconds(core::to_seconds(copy_keep_) * settings_.renewal_part);
+        length = core::part_of(copy_keep_, settings_.renewal_part);
         break;
     }
     timers_.start(timeout, now_ + length);
--- a/src/replica/replica_task.cpp
+++ b/src/replica/replica_task.cpp
@@ -20,8 +20,13 @@
 
 replica_task::replica_task(task::task_host& host, replica_settings settings,
                            std::shared_ptr<const chart::chart> source, news_listener& listener)
-    : basic_task{"replica", host}, settings_{std::move(settings)}, listener_{listener},
-      source_{settings_.source, std::move(source), static_cast<news_source_host&>(*this)}
+    : basic_task{"replica", &host}, settings_{std::move(settings)}, listener_{listener},
+      source_{settings_.source, std::move(source), static_cast<news_source_host&>(*this)},
+      timer_{loop(), [this] {
+                 source_.on_time(now());
+                 serve_waiting();
+                 arm_timer();
+             }}
 {
     for (const std::string& each : settings_.tables) {
         copies_.emplace(each, table_copy{each});
@@ -44,8 +49,8 @@
     }
     server_ = *std::move(server);
     const core::duration limit = settings_.source.answer_limit;
-    client_ = std::make_unique<http::client>(loop(), static_cast<http::client_listener&>(*this),
-                                             http::client_settings{limit, limit});
+    questions_ =
+        std::make_unique<http::question_sender>(loop(), http::client_settings{limit, limit});
     source_.start(now());
     arm_timer();
     return absl::OkStatus();
@@ -60,9 +65,9 @@
 
 void replica_task::on_stop()
 {
-    loop().cancel(timer_);
+    timer_.cancel();
     server_.reset();
-    client_.reset();
+    questions_.reset();
 }
 
 void replica_task::handle(const store_told& heard)
@@ -125,28 +130,10 @@
     waiting_.erase(exchange);
 }
 
-void replica_task::on_head(http::exchange_id exchange, const http::response_head& head)
+void replica_task::on_answer(const absl::StatusOr<http::question_answer>& heard)
 {
-    if (question_ != nullptr && question_->exchange == exchange) {
-        question_->status = head.status;
-    }
-}
-
-void replica_task::on_body(http::exchange_id exchange, std::string_view bytes)
-{
-    if (question_ != nullptr && question_->exchange == exchange) {
-        question_->body += bytes;
-    }
-}
-
-void replica_task::on_end(http::exchange_id exchange, bool /*sent*/, const absl::Status& status)
-{
-    if (question_ == nullptr || question_->exchange != exchange) {
-        return;
-    }
-    const std::unique_ptr<open_question> ended = std::move(question_);
-    auto decoded = status.ok() && ended->status == status_ok
-                       ? decode_feed_answer(ended->body)
+    auto decoded = heard.ok() && heard->head.status == status_ok
+                       ? decode_feed_answer(heard->body)
                        : absl::StatusOr<feed_answer>{absl::UnavailableError("no answer")};
     if (decoded.ok()) {
         answer_ = std::make_unique<const feed_answer>(*std::move(decoded));
@@ -154,7 +141,8 @@
     }
     else {
         core::log_event(core::log_level::debug, "reader_refused",
-                        {{"status", ended->status}, {"reason", std::string{status.message()}}});
+                        {{"status", heard.ok() ? heard->head.status : 0},
+                         {"reason", std::string{heard.status().message()}}});
         source_.raise(source_event::reader_failed, now());
     }
     serve_waiting();
@@ -186,13 +174,16 @@
 void replica_task::ask(const feed_peer& reader, core::duration wait)
 {
     give_up();
-    last_exchange_ = last_exchange_.next();
-    question_ = std::make_unique<open_question>(open_question{last_exchange_});
-    client_->start(last_exchange_, reader.feed,
-                   http::request{"POST",
-                                 std::string{feed_path},
-                                 {{"content-type", "application/x-protobuf"}},
-                                 encode(feed_query{known(), wait})});
+    // The source watches the time.
+    question_ =
+        questions_->ask(reader.feed,
+                        http::request{"POST",
+                                      std::string{feed_path},
+                                      {{"content-type", "application/x-protobuf"}},
+                                      encode(feed_query{known(), wait})},
+                        std::nullopt, [this](const absl::StatusOr<http::question_answer>& heard) {
+                            on_answer(heard);
+                        });
 }
 
 void replica_task::take_news()
@@ -205,10 +196,7 @@
 
 void replica_task::give_up()
 {
-    if (question_ != nullptr) {
-        client_->cancel(question_->exchange);
-        question_.reset();
-    }
+    questions_->cancel(question_);
 }
 
 void replica_task::apply(const table_news& news)
@@ -288,17 +276,7 @@
     for (const auto& [exchange, asked] : waiting_) {
         due = std::min(due.value_or(asked.due), asked.due);
     }
-    if (!due.has_value() || (timer_due_.has_value() && *timer_due_ <= *due)) {
-        return;
-    }
-    loop().cancel(timer_);
-    timer_due_ = due;
-    timer_ = loop().run_at(*due, [this] {
-        timer_due_.reset();
-        source_.on_time(now());
-        serve_waiting();
-        arm_timer();
-    });
+    timer_.set(due);
 }
 
 } // namespace cyclamen::replica
--- a/src/replica/replica_task.hpp
+++ b/src/replica/replica_task.hpp
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-#include "http/client.hpp"
+#include "http/question_sender.hpp"
 #include "http/server.hpp"
 #include "replica/feed_codec.hpp"
 #include "replica/messages.hpp"
@@ -15,6 +15,7 @@
 #include "replica/news_source.hpp"
 #include "replica/table_copy.hpp"
 #include "task/basic_task.hpp"
+#include "task/due_timer.hpp"
 #include "task/ordered_sender.hpp"
 
 namespace cyclamen::replica {
@@ -36,7 +37,6 @@
 /// each other.
 class replica_task final : public task::basic_task<replica_message>,
                            private http::server_handler,
-                           private http::client_listener,
                            private news_source_host {
   public:
     /// @param host thread that the task runs on
@@ -57,29 +57,21 @@
         const core::instant due;
     };
 
-    /// The question to a reader that is under way.
-    struct open_question {
-        const http::exchange_id exchange;
-        int status = 0;
-        std::string body;
-    };
-
     const replica_settings settings_;
     news_listener& listener_;
     news_source source_;
     std::optional<task::ordered_sender<follow_tables>> store_;
     std::unique_ptr<http::server> server_;
-    std::unique_ptr<http::client> client_;
+    std::unique_ptr<http::question_sender> questions_;
     std::map<std::string, table_copy> copies_;
     std::map<core::instance_name, feed_peer> peers_;
     /// Tables that the store has answered for since it was lost or left.
     std::set<std::string> answered_;
     std::map<http::exchange_id, waiting_query> waiting_;
-    std::unique_ptr<open_question> question_;
+    /// The question to a reader that was asked last.
+    http::exchange_id question_;
     std::unique_ptr<const feed_answer> answer_;
-    http::exchange_id last_exchange_;
-    task::timer_id timer_;
-    std::optional<core::instant> timer_due_;
+    task::due_timer timer_;
 
     absl::Status on_start() override;
     void on_message(const replica_message& message) override;
@@ -91,9 +83,7 @@
     void on_request(http::exchange_id exchange, const http::request& received) override;
     void on_gone(http::exchange_id exchange) override;
 
-    void on_head(http::exchange_id exchange, const http::response_head& head) override;
-    void on_body(http::exchange_id exchange, std::string_view bytes) override;
-    void on_end(http::exchange_id exchange, bool sent, const absl::Status& status) override;
+    void on_answer(const absl::StatusOr<http::question_answer>& heard);
 
     void follow_store(store_scope scope) override;
     [[nodiscard]] bool store_answers() const override;
--- a/src/settings/instance_settings.cpp
+++ b/src/settings/instance_settings.cpp
@@ -17,17 +17,6 @@
 constexpr core::duration default_drain_limit = std::chrono::minutes{10};
 constexpr std::size_t default_body_bytes = 4'000'000;
 
-core::log_level to_log_level(const std::string& text)
-{
-    if (text == "debug") {
-        return core::log_level::debug;
-    }
-    if (text == "warning") {
-        return core::log_level::warning;
-    }
-    return text == "error" ? core::log_level::error : core::log_level::info;
-}
-
 core::duration milliseconds_or(const document& body, const char* key, core::duration otherwise)
 {
     return body.contains(key) ? core::duration{std::chrono::milliseconds{body[key].get<int>()}}
@@ -228,7 +217,7 @@
     return instance_settings{core::instance_name{body["name"]},
                              core::failure_domain_name{body["failure_domain"]},
                              *address,
-                             to_log_level(body.value("log_level", "info")),
+                             core::parse_log_level(body.value("log_level", "info")),
                              body.value("most_body_bytes", default_body_bytes),
                              body.value("policy", "standard") == "naive",
                              decode_generation(body.value("generation", document::object())),
--- a/src/soak/child_process.cpp
+++ b/src/soak/child_process.cpp
@@ -7,7 +7,6 @@
 
 #include <csignal>
 #include <cstring>
-#include <thread>
 #include <utility>
 
 #include "core/error.hpp"
@@ -19,7 +18,6 @@
 
 constexpr pid_t no_process = -1;
 constexpr mode_t log_mode = 0644;
-constexpr core::duration poll_pause = std::chrono::milliseconds{10};
 
 } // namespace
 
@@ -94,12 +92,4 @@
     return ended_;
 }
 
-std::optional<int> child_process::wait(core::duration longest)
-{
-    for (core::duration waited{}; waited < longest && !poll().has_value(); waited += poll_pause) {
-        std::this_thread::sleep_for(poll_pause);
-    }
-    return poll();
-}
-
 } // namespace cyclamen::soak
--- a/src/soak/child_process.hpp
+++ b/src/soak/child_process.hpp
@@ -8,8 +8,6 @@
 
 #include <absl/status/statusor.h>
 
-#include "core/time.hpp"
-
 namespace cyclamen::soak {
 
 /// A process that the soak has started. It is killed with this object.
@@ -31,10 +29,6 @@
     /// @return how it has ended, as waitpid tells it; empty while it runs
     [[nodiscard]] std::optional<int> poll();
 
-    /// Waits for its end.
-    /// @return the same, empty where it still runs after that time
-    [[nodiscard]] std::optional<int> wait(core::duration longest);
-
   private:
     pid_t id_;
     std::optional<int> ended_;
--- /dev/null
+++ b/src/soak/fault_effects.cpp
@@ -0,0 +1,53 @@
+#include "soak/fault_effects.hpp"
+
+#include <map>
+
+namespace cyclamen::soak {
+
+using standin::row_store_fault;
+using standin::runner_fault;
+
+proxy_mode mode_of(fault_kind kind)
+{
+    switch (kind) {
+    case fault_kind::store_delayed:
+    case fault_kind::runner_delayed:
+        return proxy_mode::delay;
+    case fault_kind::store_reset:
+    case fault_kind::runner_reset:
+        return proxy_mode::reset;
+    case fault_kind::store_cut:
+    case fault_kind::runner_cut:
+        return proxy_mode::cut;
+    default:
+        return proxy_mode::one_way;
+    }
+}
+
+runner_fault runner_fault_of(fault_kind kind)
+{
+    const std::map<fault_kind, runner_fault> faults{
+        {fault_kind::runner_killed, runner_fault::killed},
+        {fault_kind::runner_dark, runner_fault::dark},
+        {fault_kind::runner_shedding, runner_fault::shedding},
+        {fault_kind::runner_failing, runner_fault::failing},
+        {fault_kind::runner_losing, runner_fault::losing},
+        {fault_kind::runner_cutting, runner_fault::cutting},
+        {fault_kind::runner_mixing, runner_fault::mixing},
+        {fault_kind::runner_garbling, runner_fault::garbling},
+        {fault_kind::runner_ambiguous, runner_fault::ambiguous}};
+    return faults.at(kind);
+}
+
+row_store_fault store_fault_of(fault_kind kind)
+{
+    const std::map<fault_kind, row_store_fault> faults{
+        {fault_kind::store_silent, row_store_fault::silent},
+        {fault_kind::store_down, row_store_fault::down},
+        {fault_kind::store_busy, row_store_fault::busy},
+        {fault_kind::store_losing, row_store_fault::losing},
+        {fault_kind::store_slow, row_store_fault::slow}};
+    return faults.at(kind);
+}
+
+} // namespace cyclamen::soak
--- a/src/soak/soak.cpp
+++ b/src/soak/soak.cpp
@@ -7,38 +7,34 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <thread>
 
-#include <nlohmann/json.hpp>
-
-#include "core/clock.hpp"
 #include "core/free_address.hpp"
 #include "core/text.hpp"
 #include "soak/caller_task.hpp"
 #include "soak/child_process.hpp"
+#include "soak/fault_effects.hpp"
 #include "soak/fault_proxy.hpp"
+#include "soak/soak_documents.hpp"
 #include "soak/verdict.hpp"
 #include "standin/row_store_task.hpp"
 #include "standin/runner_task.hpp"
 #include "task/channel.hpp"
+#include "task/event_loop.hpp"
 
 namespace cyclamen::soak {
 
 namespace {
 
-using document = nlohmann::json;
 using standin::row_store_fault;
 using standin::runner_fault;
 
-constexpr const char* engine_service = "engines";
-constexpr const char* plain_service = "desk";
 constexpr std::array<const char*, 3> domains{"a", "b", "c"};
 
-/// Time from SIGTERM to the kill that an instance is told.
-constexpr core::duration leave_limit = std::chrono::seconds{3};
 /// Time in which instances have read everything before the traffic starts.
 constexpr core::duration start_time = std::chrono::seconds{2};
-/// Pause between the looks of the main loop.
+/// Time after the traffic in which every request and every instance that leaves has ended.
+constexpr core::duration end_time = std::chrono::seconds{5};
+/// Pause between two looks at the processes.
 constexpr core::duration tick = std::chrono::milliseconds{5};
 /// Time between SIGKILL and the next start.
 constexpr core::duration restart_pause = std::chrono::milliseconds{300};
@@ -54,15 +50,6 @@
     std::unique_ptr<fault_proxy> proxy;
 };
 
-/// Addresses of an instance.
-struct instance_addresses {
-    core::socket_address entry;
-    core::socket_address ready;
-    core::socket_address directory;
-    core::socket_address metrics;
-    core::socket_address feed;
-};
-
 /// An instance with the proxy between it and the store.
 struct instance_place {
     std::string name;
@@ -77,75 +64,6 @@
     bool paused = false;
 };
 
-document route(const std::string& prefix, const char* kind, const char* service, int attempts)
-{
-    const bool streams = std::string_view{kind} == "streaming";
-    return document{{"name", core::concat("route", prefix)},
-                    {"host", "soak.example"},
-                    {"prefix", prefix},
-                    {"kind", kind},
-                    {"timeout_ms", streams ? 6000 : 1500},
-                    {"goal_ms", streams ? 1500 : 300},
-                    {"priority", 1},
-                    {"backend", service},
-                    {"attempts", attempts},
-                    {"public", false},
-                    {"resumable", streams},
-                    {"gap_target_ms", streams ? 700 : 0}};
-}
-
-std::string configuration(std::uint64_t revision)
-{
-    document routes{route("/s/", "streaming", engine_service, 5),
-                    route("/u/", "unsafe", plain_service, 1),
-                    route("/r/", "safe", plain_service, 2)};
-    for (std::uint64_t each = 1; each <= revision; ++each) {
-        routes.push_back(route(core::concat("/since-", each, "/"), "safe", plain_service, 2));
-    }
-    return document{{"version", revision},
-                    {"routes", routes},
-                    {"backends",
-                     {{{"name", engine_service},
-                       {"health_path", "/healthz"},
-                       {"engine",
-                        {{"slots", 64},
-                         {"kv_capacity_tokens", 1000000},
-                         {"backups", true},
-                         {"moves", false},
-                         {"models", {{{"name", "m"}}}}}}},
-                      {{"name", plain_service}, {"health_path", "/healthz"}}}},
-                    {"limits",
-                     {{"max_header_bytes", 16384},
-                      {"max_body_bytes", 1000000},
-                      {"header_timeout_ms", 3000},
-                      {"idle_timeout_ms", 15000}}},
-                    {"tenants", {{{"name", "soaker"}, {"api_keys", {"soak-key"}}}}}}
-        .dump();
-}
-
-document instance_settings(const std::string& name, const char* domain,
-                           const instance_addresses& at, const core::socket_address& store,
-                           const std::vector<std::string>& seeds)
-{
-    return document{{"name", name},
-                    {"failure_domain", domain},
-                    {"cores", 1},
-                    {"seeds", seeds},
-                    {"listen",
-                     {{"entry", core::to_string(at.entry)},
-                      {"ready", core::to_string(at.ready)},
-                      {"directory", core::to_string(at.directory)},
-                      {"metrics", core::to_string(at.metrics)},
-                      {"feed", core::to_string(at.feed)}}},
-                    {"store", {{"address", core::to_string(store)}}},
-                    {"retries", {{"ratio", 0.8}, {"slack", 300}, {"window_s", 10}}},
-                    {"limits",
-                     {{"leave_s", core::to_seconds(leave_limit)},
-                      {"target_drain_ms", 2000},
-                      {"configuration_ms", 2000},
-                      {"directory_keep_s", 3}}}};
-}
-
 /// The system under soak and all that surrounds it. Owned by the thread that runs the soak.
 class soaked_system {
   public:
@@ -188,26 +106,27 @@
     soak_result run()
     {
         const std::vector<planned_fault> plan = plan_faults(settings_.seed, settings_.length);
-        std::this_thread::sleep_for(start_time);
-        const core::instant begin = clock_.now();
-        tell_callers(true);
+        loop_.open();
+        const core::instant begin = loop_.now() + start_time;
+        later(begin, [this] { tell_callers(true); });
         for (const planned_fault& each : plan) {
             later(begin + each.at, [this, each] { apply(each); });
         }
         later(begin + settings_.length, [this] { tell_callers(false); });
-        const core::instant end = begin + settings_.length + leave_limit + std::chrono::seconds{5};
-        while (clock_.now() < end) {
-            run_due();
-            watch();
-            std::this_thread::sleep_for(tick);
+        loop_.run_every(tick, [this] { watch(); });
+        const core::instant end = begin + settings_.length + leave_limit + end_time;
+        while (loop_.now() < end) {
+            loop_.run_once(tick);
         }
+        loop_.close();
         callers_->stop();
         return judge(plan);
     }
 
   private:
     const soak_settings settings_;
-    core::system_clock clock_;
+    /// Its timers play the plan.
+    task::event_loop loop_;
     std::shared_ptr<task::channel<standin::runner_report>> reports_ =
         std::make_shared<task::channel<standin::runner_report>>();
     std::shared_ptr<task::channel<call_record>> calls_ =
@@ -216,10 +135,10 @@
     std::vector<runner_place> runners_;
     std::vector<instance_place> instances_;
     std::unique_ptr<caller_task> callers_;
-    std::multimap<core::instant, std::function<void()>> due_;
     std::vector<disturbance> disturbances_;
     std::vector<std::string> violations_;
     std::uint64_t revision_ = 0;
+    bool sending_ = false;
     std::uint16_t next_port_ =
         static_cast<std::uint16_t>(first_port + settings_.seed % port_blocks * ports_in_block);
 
@@ -272,11 +191,9 @@
         const std::string name = core::concat("instance-", index);
         const std::string base = core::concat(settings_.folder, "/", name);
         seeds.push_back(core::to_string(free[4]));
-        std::ofstream{base + ".json"}
-            << instance_settings(name, domains[index % domains.size()],
-                                 instance_addresses{free[0], free[1], free[2], free[3], free[4]},
-                                 free[5], seeds)
-                   .dump(2);
+        std::ofstream{base + ".json"} << settings_text(
+            name, domains[index % domains.size()],
+            instance_addresses{free[0], free[1], free[2], free[3], free[4]}, free[5], seeds);
         instance_place made{name, base + ".json", base + ".log", free[0],
                             std::make_unique<fault_proxy>(free[5], store)};
         absl::Status status = made.proxy->start();
@@ -312,7 +229,7 @@
 
     void restart(instance_place& place)
     {
-        if (place.process.has_value() || clock_.now() == core::instant{}) {
+        if (place.process.has_value()) {
             return;
         }
         if (const absl::Status started = start_process(place); !started.ok()) {
@@ -324,12 +241,8 @@
     void configure()
     {
         ++revision_;
-        write({standin::row_write{"op", "config", configuration(revision_), false}});
-    }
-
-    void write(std::vector<standin::row_write> rows)
-    {
-        post(store_->inbox(), standin::row_store_message{standin::write_rows{std::move(rows)}});
+        post(store_->inbox(), standin::row_store_message{standin::write_rows{{standin::row_write{
+                                  "op", "config", configuration_text(revision_), false}}}});
     }
 
     template <class Message>
@@ -340,8 +253,6 @@
         }
     }
 
-    bool sending_ = false;
-
     void tell_callers(bool sending)
     {
         sending_ = sending;
@@ -352,15 +263,7 @@
         post(callers_->inbox(), caller_news{revision_, std::move(processes), sending});
     }
 
-    void later(core::instant at, std::function<void()> what) { due_.emplace(at, std::move(what)); }
-
-    void run_due()
-    {
-        while (!due_.empty() && due_.begin()->first <= clock_.now()) {
-            const auto what = due_.extract(due_.begin());
-            what.mapped()();
-        }
-    }
+    void later(core::instant at, std::function<void()> what) { loop_.run_at(at, std::move(what)); }
 
     /// No process ends by itself, and one that was told to stop ends in time.
     void watch()
@@ -370,7 +273,7 @@
                 continue;
             }
             const auto ended = each.process->poll();
-            const bool late = each.stop_due.has_value() && clock_.now() > *each.stop_due;
+            const bool late = each.stop_due.has_value() && loop_.now() > *each.stop_due;
             if (!ended.has_value() && !late) {
                 continue;
             }
@@ -383,7 +286,7 @@
             }
             each.process.reset();
             each.stop_due.reset();
-            later(clock_.now() + restart_pause, [this, &each] { restart(each); });
+            later(loop_.now() + restart_pause, [this, &each] { restart(each); });
         }
     }
 
@@ -392,7 +295,7 @@
         instance_place& instance = instances_[fault.subject % instances_.size()];
         const core::duration ends = harm(fault, instance);
         if (ends > core::duration::zero()) {
-            disturbances_.push_back(disturbance{clock_.now(), clock_.now() + ends});
+            disturbances_.push_back(disturbance{loop_.now(), loop_.now() + ends});
         }
     }
 
@@ -400,7 +303,7 @@
     core::duration harm(const planned_fault& fault, instance_place& instance)
     {
         const runner_place& runner = runners_[fault.subject % runners_.size()];
-        const core::instant end = clock_.now() + fault.length;
+        const core::instant end = loop_.now() + fault.length;
         switch (fault.kind) {
         case fault_kind::instance_killed:
             if (instance.process.has_value() && !instance.stop_due.has_value()) {
@@ -414,7 +317,7 @@
             if (instance.process.has_value() && !instance.stop_due.has_value() &&
                 !instance.paused) {
                 instance.process->send_signal(SIGTERM);
-                instance.stop_due = clock_.now() + leave_limit + std::chrono::seconds{1};
+                instance.stop_due = loop_.now() + leave_limit + std::chrono::seconds{1};
             }
             return leave_limit + std::chrono::seconds{1};
         case fault_kind::instance_reloaded:
@@ -473,49 +376,6 @@
         return true;
     }
 
-    static proxy_mode mode_of(fault_kind kind)
-    {
-        switch (kind) {
-        case fault_kind::store_delayed:
-        case fault_kind::runner_delayed:
-            return proxy_mode::delay;
-        case fault_kind::store_reset:
-        case fault_kind::runner_reset:
-            return proxy_mode::reset;
-        case fault_kind::store_cut:
-        case fault_kind::runner_cut:
-            return proxy_mode::cut;
-        default:
-            return proxy_mode::one_way;
-        }
-    }
-
-    static runner_fault runner_fault_of(fault_kind kind)
-    {
-        const std::map<fault_kind, runner_fault> faults{
-            {fault_kind::runner_killed, runner_fault::killed},
-            {fault_kind::runner_dark, runner_fault::dark},
-            {fault_kind::runner_shedding, runner_fault::shedding},
-            {fault_kind::runner_failing, runner_fault::failing},
-            {fault_kind::runner_losing, runner_fault::losing},
-            {fault_kind::runner_cutting, runner_fault::cutting},
-            {fault_kind::runner_mixing, runner_fault::mixing},
-            {fault_kind::runner_garbling, runner_fault::garbling},
-            {fault_kind::runner_ambiguous, runner_fault::ambiguous}};
-        return faults.at(kind);
-    }
-
-    static row_store_fault store_fault_of(fault_kind kind)
-    {
-        const std::map<fault_kind, row_store_fault> faults{
-            {fault_kind::store_silent, row_store_fault::silent},
-            {fault_kind::store_down, row_store_fault::down},
-            {fault_kind::store_busy, row_store_fault::busy},
-            {fault_kind::store_losing, row_store_fault::losing},
-            {fault_kind::store_slow, row_store_fault::slow}};
-        return faults.at(kind);
-    }
-
     void set_mode(fault_proxy& proxy, proxy_mode mode, core::instant end)
     {
         post(proxy.inbox(), set_proxy_mode{mode});
--- a/src/task/basic_task.hpp
+++ b/src/task/basic_task.hpp
@@ -27,32 +27,20 @@
     /// @param task_name name for logs and error messages
     /// @param capacity how many messages may wait
     explicit basic_task(std::string task_name, std::size_t capacity = default_mailbox_capacity)
-        : name_{std::move(task_name)}, own_host_{std::make_unique<task_host>()},
-          loop_{own_host_->loop()}, mailbox_{std::make_shared<mailbox<Message>>(name_, capacity)}
+        : basic_task{std::move(task_name), nullptr, capacity}
     {
-        own_host_->add(*this);
     }
 
     /// A task for a host, which the owner adds it to.
     /// @param task_name name for logs and error messages
-    /// @param host the host; outlives the task
+    /// @param host the host, which outlives the task; null for a thread of its own
     /// @param capacity how many messages may wait
-    basic_task(std::string task_name, task_host& host,
+    basic_task(std::string task_name, task_host* host,
                std::size_t capacity = default_mailbox_capacity)
-        : name_{std::move(task_name)}, loop_{host.loop()}, mailbox_{
-                                                               std::make_shared<mailbox<Message>>(
-                                                                   name_, capacity)}
-    {
-    }
-
-    /// The same, or a task with a thread of its own where there is no host.
-    /// @param task_name name for logs and error messages
-    /// @param host null for none
-    basic_task(std::string task_name, task_host* host)
         : name_{std::move(task_name)}, own_host_{host == nullptr ? std::make_unique<task_host>()
                                                                  : nullptr},
           loop_{host == nullptr ? own_host_->loop() : host->loop()},
-          mailbox_{std::make_shared<mailbox<Message>>(name_, default_mailbox_capacity)}
+          mailbox_{std::make_shared<mailbox<Message>>(name_, capacity)}
     {
         if (own_host_ != nullptr) {
             own_host_->add(*this);
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -107,8 +107,8 @@
     BOOST_TEST((nlohmann::json::parse(sent.body) ==
                 nlohmann::json{{"id", "9c41"}, {"to", "10.128.0.10:8080"}}));
     const auto heard = [&](int status, const std::string& body) {
-        return platform::decode_copy(
-            platform::question_answer{http::response_head{status, {}}, body}, command.source);
+        return platform::decode_copy(http::question_answer{http::response_head{status, {}}, body},
+                                     command.source);
     };
     BOOST_TEST(
         (heard(200, R"({"handle":"h7","created":12})") == relay::run_copy{command.source, "h7"}));
--- a/tests/task/task_test.cpp
+++ b/tests/task/task_test.cpp
@@ -120,7 +120,7 @@
 class stalling_task final : public task::basic_task<int> {
   public:
     stalling_task(task::task_host& host, std::shared_ptr<task::channel<int>> heard)
-        : basic_task{"stalling", host}, heard_{std::move(heard)}
+        : basic_task{"stalling", &host}, heard_{std::move(heard)}
     {
     }
 
