Test addresses that no other process or connection can take

Cause, as far as traced: find_free_loopback_address() bound port 0 of 127.0.0.1, read the port and closed the socket. The checks now print the status.

The soak uses the same function instead of blocks of ports by seed.

--- a/src/core/free_address.hpp
+++ b/src/core/free_address.hpp
@@ -6,14 +6,10 @@
 
 namespace cyclamen::core {
 
-/// Finds an unused loopback address. Nothing reserves it: another process may bind it first.
-/// @return an address with a port chosen by the operating system, or unavailable
+/// Finds an unused loopback address for a listener of this process or of a child process. No two
+/// calls in a process return the same address, and no other process is given it. Any thread may
+/// call it.
+/// @return the address, or unavailable if every port is in use
 [[nodiscard]] absl::StatusOr<socket_address> find_free_loopback_address();
 
-/// Finds an unused loopback address with the lowest port in a range of 1000 ports.
-/// @param first_port start of the range
-/// @return the address, or unavailable if every port of the range is in use
-[[nodiscard]] absl::StatusOr<socket_address>
-find_free_loopback_address_from(std::uint16_t first_port);
-
 } // namespace cyclamen::core
--- a/src/soak/soak.cpp
+++ b/src/soak/soak.cpp
@@ -39,11 +39,6 @@
 /// Time between the end of a process and the start of the next one.
 constexpr core::duration restart_pause = std::chrono::milliseconds{300};
 
-/// Ports below the ephemeral range. Soak tests that run at the same time use different blocks.
-constexpr std::uint64_t first_port = 10000;
-constexpr std::uint64_t port_block_count = 200;
-constexpr std::uint64_t ports_per_block = 100;
-
 /// A runner and the proxy in front of it.
 struct proxied_runner {
     std::unique_ptr<standin::runner_task> runner;
@@ -81,7 +76,7 @@
 
     absl::Status start()
     {
-        const auto store_address = next_address();
+        const auto store_address = core::find_free_loopback_address();
         if (!store_address.ok()) {
             return store_address.status();
         }
@@ -140,23 +135,11 @@
     std::vector<std::string> violations_;
     std::uint64_t revision_ = 0;
     bool sending_allowed_ = false;
-    std::uint16_t next_port_ = static_cast<std::uint16_t>(
-        first_port + settings_.seed % port_block_count * ports_per_block);
-
-    /// Avoids ephemeral ports: an outgoing connection could take one while a process restarts.
-    absl::StatusOr<core::socket_address> next_address()
-    {
-        auto found = core::find_free_loopback_address_from(next_port_);
-        if (found.ok()) {
-            next_port_ = static_cast<std::uint16_t>(found->port + 1);
-        }
-        return found;
-    }
 
     absl::Status add_runner(std::size_t index)
     {
-        const auto listen = next_address();
-        const auto listed = next_address();
+        const auto listen = core::find_free_loopback_address();
+        const auto listed = core::find_free_loopback_address();
         if (!listen.ok() || !listed.ok()) {
             return listen.ok() ? listed.status() : listen.status();
         }
@@ -184,7 +167,7 @@
     {
         std::vector<core::socket_address> addresses;
         for (int i = 0; i < 6; ++i) {
-            const auto address = next_address();
+            const auto address = core::find_free_loopback_address();
             if (!address.ok()) {
                 return address.status();
             }
--- a/tests/instance/configuration_test.cpp
+++ b/tests/instance/configuration_test.cpp
@@ -58,7 +58,7 @@
         const auto decoded = settings::decode_instance_settings(settings, "test");
         BOOST_REQUIRE_MESSAGE(decoded.ok(), std::string{decoded.status().message()});
         auto started = instance::instance::start(*decoded, chart::library::embedded());
-        BOOST_REQUIRE(started.ok());
+        BOOST_REQUIRE_MESSAGE(started.ok(), std::string{started.status().message()});
         instances.push_back(*std::move(started));
     }
 
--- a/tests/instance/instance_fixture.hpp
+++ b/tests/instance/instance_fixture.hpp
@@ -60,7 +60,7 @@
         BOOST_REQUIRE_MESSAGE(decoded.ok(), std::string{decoded.status().message()});
         core::set_log_level(decoded->log_level);
         auto started = instance::instance::start(*decoded, chart::library::embedded());
-        BOOST_REQUIRE(started.ok());
+        BOOST_REQUIRE_MESSAGE(started.ok(), std::string{started.status().message()});
         entry = *std::move(started);
         BOOST_REQUIRE(callers.start().ok());
     }
