A refusal says which source confirmed the configuration, and when

Cause: a request refused by an old configuration could not be explained from its log line: it had the revision, but not whether the instance was in touch with the store, through whom, and since when.

Change: answers between instances carry the time since the store last answered the reader (age_ms); the replica task reports each confirmation to the decisions, and request_refused logs confirmed_by and confirmed_ms_ago.

Test: the_log_explains_which_configuration_refused_a_request; instance_gets_its_tables_from_a_reader checks the sources.

--- a/src/relay/messages.hpp
+++ b/src/relay/messages.hpp
@@ -356,6 +356,16 @@
     bool operator==(const configuration_read&) const = default;
 };
 
+/// A source has confirmed that the configuration in force is the newest one.
+struct configuration_confirmed {
+    /// Instance that was asked, empty for the store itself.
+    const core::instance_name source;
+    /// When the store last answered that source.
+    const core::instant at;
+
+    auto operator<=>(const configuration_confirmed&) const = default;
+};
+
 /// The list of targets has changed.
 struct targets_listed {
     /// True if the list is complete: targets missing from it are gone.
@@ -401,7 +411,7 @@
     std::variant<submission, caller_gone, metrics_query, stream_begun, stream_events,
                  stream_finished, attempt_answered, attempt_rejected, attempt_lost, run_copied,
                  target_answered, target_identified, instance_answered, configuration_read,
-                 targets_listed, members_listed, stop_requested>;
+                 configuration_confirmed, targets_listed, members_listed, stop_requested>;
 
 /// Messages to the entry task.
 using entry_command =
--- a/src/relay/relay_manager.cpp
+++ b/src/relay/relay_manager.cpp
@@ -143,6 +143,11 @@
     check_ready();
 }
 
+void relay_manager::on(const configuration_confirmed& confirmation)
+{
+    confirmation_.emplace(confirmation);
+}
+
 void relay_manager::on(const targets_listed& update)
 {
     targets_.on_targets(update, now_);
@@ -229,11 +234,27 @@
                      {"reason", problem},
                      {"host", refused.content->host},
                      {"path", refused.content->path},
-                     {"revision", table_ == nullptr ? 0 : table_->revision().value()}});
+                     {"revision", table_ == nullptr ? 0 : table_->revision().value()},
+                     {"confirmed_by", confirming_source()},
+                     {"confirmed_ms_ago", confirmation_age_ms()}});
     host_.send(answer_refused{refused.caller, core::failure{kind, std::string{problem}, not_run,
                                                             settings_.requests.retry_after}});
 }
 
+std::string relay_manager::confirming_source() const
+{
+    if (!confirmation_.has_value()) {
+        return "none";
+    }
+    const core::instance_name& source = confirmation_->get().source;
+    return source.empty() ? "store" : source.str();
+}
+
+double relay_manager::confirmation_age_ms() const
+{
+    return confirmation_.has_value() ? core::to_milliseconds(now_ - confirmation_->get().at) : -1.0;
+}
+
 const core::service_name& relay_manager::pick_service(const route& matched_route,
                                                       const submission& submitted) const
 {
--- a/src/relay/relay_manager.hpp
+++ b/src/relay/relay_manager.hpp
@@ -66,6 +66,7 @@
     entry_lifecycle lifecycle_;
     core::instant now_;
     route_table_ptr table_;
+    std::optional<core::cell<configuration_confirmed>> confirmation_;
     member_registry members_;
     std::optional<core::instant> next_watch_at_;
     std::map<request_number, std::unique_ptr<relayed_request>> requests_;
@@ -78,6 +79,7 @@
     void on(const caller_gone& notice);
     void on(const metrics_query& query);
     void on(const configuration_read& update);
+    void on(const configuration_confirmed& confirmation);
     void on(const targets_listed& update);
     void on(const members_listed& update);
     void on(const instance_answered& answer);
@@ -93,6 +95,10 @@
 
     void refuse(const submission& refused, core::error_kind kind, std::string_view problem,
                 bool not_run);
+    /// @return the instance that last confirmed the configuration, for the log
+    [[nodiscard]] std::string confirming_source() const;
+    /// @return time since the store last confirmed the configuration in ms, -1 if it never did
+    [[nodiscard]] double confirmation_age_ms() const;
     [[nodiscard]] const core::service_name& pick_service(const route& matched_route,
                                                          const submission& submitted) const;
     void check_ready();
--- a/src/replica/feed_codec.cpp
+++ b/src/replica/feed_codec.cpp
@@ -54,6 +54,8 @@
             line.set_removed(changed.removed);
         }
     }
+    out.set_age_ms(static_cast<std::uint32_t>(
+        std::chrono::ceil<std::chrono::milliseconds>(answer.age).count()));
     return out.SerializeAsString();
 }
 
@@ -84,7 +86,7 @@
         }
         tables.push_back(table_update{each.table(), each.version(), each.whole(), std::move(rows)});
     }
-    return feed_answer{std::move(tables)};
+    return feed_answer{std::move(tables), std::chrono::milliseconds{in.age_ms()}};
 }
 
 } // namespace cyclamen::replica
--- a/src/replica/feed_codec.hpp
+++ b/src/replica/feed_codec.hpp
@@ -26,6 +26,8 @@
 /// Changes of the tables that were asked for.
 struct feed_answer {
     const std::vector<table_update> tables;
+    /// Time since the store last answered for the reader's first table.
+    const core::duration age;
 
     auto operator<=>(const feed_answer&) const = default;
 };
--- a/src/replica/replica_listener.hpp
+++ b/src/replica/replica_listener.hpp
@@ -11,6 +11,11 @@
 
     /// Rows of a table have changed. The first update of a table is complete.
     virtual void on_update(const table_update& update) = 0;
+
+    /// A source has confirmed that the copy of the first table is current.
+    /// @param source instance that was asked, empty for the store itself
+    /// @param at when the store last answered that source; never earlier than in the call before
+    virtual void on_confirmed(const core::instance_name& source, core::instant at) = 0;
 };
 
 } // namespace cyclamen::replica
--- a/src/replica/replica_task.cpp
+++ b/src/replica/replica_task.cpp
@@ -73,6 +73,9 @@
 void replica_task::handle(const store_answered& answer)
 {
     apply(answer.update);
+    if (answer.update.table == settings_.tables.front()) {
+        confirm({}, now());
+    }
     answered_tables_.insert(answer.update.table);
     source_.raise(source_event::store_answered, now());
     if (answered_tables_.size() == copies_.size()) {
@@ -174,6 +177,8 @@
 void replica_task::ask(const feed_peer& reader, core::duration wait)
 {
     cancel_question();
+    asked_reader_.set(reader.name.empty() ? core::instance_name{core::to_string(reader.feed)}
+                                          : reader.name);
     // No time limit here: the timers of the source apply.
     question_ = questions_->send(reader.feed,
                                  http::request{"POST",
@@ -192,6 +197,7 @@
     for (const table_update& each : taken->tables) {
         apply(each);
     }
+    confirm(asked_reader_.get(), now() - taken->age);
 }
 
 void replica_task::cancel_question()
@@ -210,6 +216,14 @@
     }
 }
 
+void replica_task::confirm(const core::instance_name& source, core::instant at)
+{
+    if (!confirmed_at_.has_value() || at > *confirmed_at_) {
+        confirmed_at_ = at;
+        listener_.on_confirmed(source, at);
+    }
+}
+
 std::vector<table_state> replica_task::known() const
 {
     std::vector<table_state> states;
@@ -240,9 +254,9 @@
             updates.push_back(copy->second.changes_since(each.version));
         }
     }
-    server_->respond(exchange,
-                     http::response_head{status_ok, {{"content-type", "application/x-protobuf"}}},
-                     encode(feed_answer{std::move(updates)}));
+    server_->respond(
+        exchange, http::response_head{status_ok, {{"content-type", "application/x-protobuf"}}},
+        encode(feed_answer{std::move(updates), now() - confirmed_at_.value_or(now())}));
 }
 
 void replica_task::reject(http::exchange_id exchange)
--- a/src/replica/replica_task.hpp
+++ b/src/replica/replica_task.hpp
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "core/cell.hpp"
 #include "http/buffered_client.hpp"
 #include "http/server.hpp"
 #include "replica/feed_codec.hpp"
@@ -68,8 +69,11 @@
     /// Tables for which the store has answered since it was last lost or left.
     std::set<std::string> answered_tables_;
     std::map<http::exchange_id, waiting_query> waiting_;
-    /// The last query that was sent to a reader.
+    /// The last query that was sent to a reader, and the reader's name, or else its address.
     http::exchange_id question_;
+    core::cell<core::instance_name> asked_reader_{core::instance_name{}};
+    /// When the store last confirmed the first table, directly or through a reader.
+    std::optional<core::instant> confirmed_at_;
     std::unique_ptr<const feed_answer> answer_;
     task::deadline_timer timer_;
 
@@ -92,6 +96,7 @@
     void cancel_question() override;
 
     void apply(const table_update& update);
+    void confirm(const core::instance_name& source, core::instant at);
     [[nodiscard]] std::vector<table_state> known() const;
     [[nodiscard]] bool can_serve() const;
     [[nodiscard]] bool has_changes_for(const feed_query& query) const;
--- a/tests/platform/instance_test.cpp
+++ b/tests/platform/instance_test.cpp
@@ -41,6 +41,12 @@
         return events;
     }
 
+    /// @return true if the text was logged
+    [[nodiscard]] bool contains(std::string_view text) const
+    {
+        return text_.str().find(text) != std::string::npos;
+    }
+
   private:
     std::ostringstream text_;
 };
@@ -224,3 +230,13 @@
     BOOST_TEST(events.find("attempt_opened attempt_rejected ") != std::string::npos);
     BOOST_TEST(events.ends_with("request_ended "));
 }
+
+BOOST_AUTO_TEST_CASE(the_log_explains_which_configuration_refused_a_request)
+{
+    captured_log log;
+    platform_fixture fixture;
+    constexpr int status_not_found = 404;
+    BOOST_TEST(fixture.send("call-3", "/none/x", false).status == status_not_found);
+    BOOST_TEST(log.events_of("call-3").ends_with("request_refused "));
+    BOOST_TEST(log.contains("revision=1 confirmed_by=store confirmed_ms_ago="));
+}
--- a/tests/replica/feed_codec_test.cpp
+++ b/tests/replica/feed_codec_test.cpp
@@ -10,7 +10,8 @@
     BOOST_TEST((replica::decode_feed_query(replica::encode(query)).value() == query));
     const replica::feed_answer answer{
         {{"op", 9, true, {{"config", std::string{"\0x", 2}, 9, false}}},
-         {"servers", 9, false, {{"s", "", 8, true}}}}};
+         {"servers", 9, false, {{"s", "", 8, true}}}},
+        std::chrono::milliseconds{250}};
     BOOST_TEST((replica::decode_feed_answer(replica::encode(answer)).value() == answer));
 }
 
--- a/tests/replica/replica_task_test.cpp
+++ b/tests/replica/replica_task_test.cpp
@@ -21,6 +21,11 @@
         BOOST_REQUIRE(channel_.post(update).ok());
     }
 
+    void on_confirmed(const core::instance_name& source, core::instant /*at*/) override
+    {
+        BOOST_REQUIRE(confirmations_.post(source).ok());
+    }
+
     replica::table_update take()
     {
         auto update = channel_.take(max_wait);
@@ -28,8 +33,17 @@
         return *update;
     }
 
+    /// @return the next source that is reported to have confirmed the first table
+    core::instance_name take_confirmation()
+    {
+        auto source = confirmations_.take(max_wait);
+        BOOST_REQUIRE(source.has_value());
+        return *source;
+    }
+
   private:
     task::channel<replica::table_update> channel_;
+    task::channel<core::instance_name> confirmations_;
 };
 
 /// An instance that replicates tables; the test acts as its store.
@@ -119,6 +133,9 @@
     const replica::table_update update = follower.updates().take();
     BOOST_TEST(update.rows.at(0).value == "two");
     BOOST_TEST(!update.complete);
+    // An empty name is the store's, which confirmed the table first.
+    BOOST_TEST(follower.updates().take_confirmation().empty());
+    BOOST_TEST(follower.updates().take_confirmation().str().starts_with("i-"));
 
     // Both readers lose the store: the follower probes the store itself.
     reader.send(replica::store_failed{"op"});
