A store that is back is asked within two answer limits and one more

Callers saw: 404 for routes that had been added and acknowledged more than 2 s before, after an outage in which the store answered nothing.

Cause: the time limit of a request doubled with each failure, up to 3 s beside a feed wait of 0.6 s, followed by a pause of up to 1 s. A request that the store had swallowed just before its return delayed the next one by up to 4.6 s, though a configuration has 2 s and an instance counts as in touch 3 s after the return. The doubling was there so that a slow store can be read.

Change: a feed request that has timed out stays open while the next one is sent, and the first answer counts, so a slow store is read as before though the time limit doesn't grow. While it is uncertain whether the store answers, it is asked for an answer at once instead of a wait for changes, and the backoff ends at two answer limits (0.8 s of the 2 s).

Tests: a_route_added_right_after_an_outage_of_the_store_is_served_in_time failed before (not served within 2 s); a_store_that_is_back_after_an_outage_is_asked_within_two_backoffs and the_answer_of_a_slow_store_counts_after_the_time_limit are new. following_resumes_from_a_version_known_from_another_instance now expects the first request without a wait and the next one with it, which checks more than before.

--- a/tests/platform/instance_test.cpp
+++ b/tests/platform/instance_test.cpp
@@ -102,6 +102,36 @@
         std::this_thread::sleep_for(50ms);
     }
 
+    void send_to_store(standin::row_store_message message)
+    {
+        BOOST_REQUIRE(store_.inbox()->post(std::move(message)).ok());
+    }
+
+    /// Adds the route /new/ to the configuration.
+    void add_route()
+    {
+        std::string changed = configuration;
+        changed.replace(changed.find("\"version\":1"), 11, "\"version\":2");
+        changed.insert(changed.find("{\"name\":\"u\""),
+                       R"({"name":"n","host":"test.example","prefix":"/new/","kind":"unsafe",
+                          "timeout_ms":800,"backend":"desk","attempts":1,"public":true},)");
+        send_to_store(standin::write_rows{{standin::row_write{"op", "config", changed, false}}});
+    }
+
+    /// @return true if a request for the route /new/ is answered with success within the limit
+    bool await_new_route(core::duration limit)
+    {
+        constexpr int status_ok = 200;
+        const auto end = std::chrono::steady_clock::now() + limit;
+        for (int i = 0; std::chrono::steady_clock::now() < end; ++i) {
+            if (send("new-" + std::to_string(i), "/new/x", false).status == status_ok) {
+                return true;
+            }
+            std::this_thread::sleep_for(20ms);
+        }
+        return false;
+    }
+
   private:
     static constexpr const char* configuration = R"({"version":1,"routes":[
         {"name":"s","host":"test.example","prefix":"/s/","kind":"streaming","timeout_ms":4000,
@@ -240,3 +270,14 @@
     BOOST_TEST(log.events_of("call-3").ends_with("request_refused "));
     BOOST_TEST(log.contains("revision=1 confirmed_by=store confirmed_ms_ago="));
 }
+
+BOOST_AUTO_TEST_CASE(a_route_added_right_after_an_outage_of_the_store_is_served_in_time)
+{
+    platform_fixture fixture;
+    fixture.send_to_store(standin::set_row_store_fault{standin::row_store_fault::silent});
+    std::this_thread::sleep_for(3400ms);
+    fixture.send_to_store(standin::set_row_store_fault{standin::row_store_fault::none});
+    fixture.add_route();
+    // The settings want a configuration in force within 2 s.
+    BOOST_TEST(fixture.await_new_route(2s));
+}
--- a/tests/platform/table_follower_test.cpp
+++ b/tests/platform/table_follower_test.cpp
@@ -14,7 +14,7 @@
   public:
     follower_fixture()
         : follower_{
-              platform::follower_settings{"op", 10ms, 100ms, 500ms},
+              platform::follower_settings{"op", 10ms, 100ms, 500ms, 1s},
               *chart::library::embedded().load("table_follower", platform::follower_vocabulary()),
               static_cast<platform::follower_host&>(*this)}
     {
@@ -53,7 +53,7 @@
     {
         requests.push_back(sent.path);
     }
-    void cancel_call(const std::string& /*table*/) override { ++cancelled; }
+    void cancel_calls(const std::string& /*table*/) override { ++cancelled; }
     void publish(replica::table_update news) override
     {
         ++(news.complete ? tables_published : changes_published);
@@ -123,9 +123,45 @@
     fixture.advance(1s);
     BOOST_TEST(fixture.requests.size() == 1U);
     fixture.follow(9);
+    // The store answers at once, which shows that it can be followed.
+    BOOST_TEST(fixture.requests.back() == "/rows-feed?table=op&after=9&wait_ms=0");
+    fixture.answer(200, "", 9);
+    fixture.advance(10ms);
     BOOST_TEST(fixture.requests.back() == "/rows-feed?table=op&after=9&wait_ms=100");
 }
 
+BOOST_AUTO_TEST_CASE(a_store_that_is_back_after_an_outage_is_asked_within_two_backoffs)
+{
+    follower_fixture fixture;
+    fixture.answer(200, row, 5);
+    for (int i = 0; i < 20; ++i) {
+        fixture.advance(500ms);
+    }
+    // Whenever the store returns, the next request is at most that far away.
+    for (int i = 0; i < 10; ++i) {
+        const std::size_t sent = fixture.requests.size();
+        for (int step = 0; step < 16; ++step) {
+            fixture.advance(100ms);
+        }
+        BOOST_TEST(fixture.requests.size() > sent);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(the_answer_of_a_slow_store_counts_after_the_time_limit)
+{
+    follower_fixture fixture;
+    fixture.answer(200, row, 5);
+    fixture.advance(10ms);
+    fixture.advance(600ms);
+    BOOST_TEST(fixture.failures == 1U);
+    // The request is still open while the follower pauses, and while the next one is open.
+    BOOST_TEST(fixture.cancelled == 0U);
+    fixture.answer(200, row, 8);
+    BOOST_TEST(fixture.changes_published == 1U);
+    fixture.advance(10ms);
+    BOOST_TEST(fixture.requests.back() == "/rows-feed?table=op&after=8&wait_ms=100");
+}
+
 BOOST_AUTO_TEST_CASE(an_error_response_publishes_nothing_and_is_retried)
 {
     follower_fixture fixture;
