An instance that the store turns away gets its tables from any instance that reads it

Callers saw: 404 for routes that had been added, for 12 to 15 s, at instances that the store turned away while others read it.

Cause: such an instance asked the chosen readers only. If the store turned these away too, the instances that still read it were never asked, and they didn't serve either: an instance served after every table had answered, which for the list of instances may take 15 s, and not while it looked for a reader itself.

Change: while neither the store nor a reader answers, three other instances are asked in each search, others each time, and the one that answered last again; the first table is probed at the store meanwhile. An instance that reads the store serves while it looks for a reader, and asks readers only, so that two of them can't turn to each other.

Tests: three new in replica_source_test, of which the first two can't pass on the code before. In readers_are_retried_while_neither_store_nor_readers_answer the member that is no reader is asked too, and the order is checked.

--- a/src/replica/replica_source.cpp
+++ b/src/replica/replica_source.cpp
@@ -13,8 +13,8 @@
                                          {"may_ask_reader", "may_ask_anyone", "store_answers",
                                           "reader_left", "returns_to_store", "reader_demoted"},
                                          {"probe_store", "follow_store", "leave_store",
-                                          "list_readers", "ask_next", "ask_again", "take_news",
-                                          "note_failure"},
+                                          "list_readers", "list_everyone", "ask_next", "ask_again",
+                                          "take_news", "note_failure"},
                                          {"settle_time", "ask_limit", "feed_limit"}};
     return words;
 }
@@ -56,11 +56,6 @@
     plan_.set(choose_sources(members, settings_.self, settings_.domain, settings_.choice));
 }
 
-bool replica_source::reads_store() const
-{
-    return machine_.state_name() == "store_read";
-}
-
 std::vector<feed_peer> replica_source::known_readers() const
 {
     std::vector<feed_peer> readers = plan_.get().readers;
@@ -72,6 +67,41 @@
     return readers;
 }
 
+void replica_source::list_readers()
+{
+    candidates_ = known_readers();
+    while (candidates_.size() > settings_.max_readers_asked) {
+        candidates_.pop_back();
+    }
+    next_ = 0;
+    searched_at_ = now_;
+}
+
+void replica_source::list_everyone()
+{
+    std::vector<feed_peer> others;
+    if (last_source_.has_value() && !is_reader(last_source_->get())) {
+        others.push_back(last_source_->get());
+    }
+    list_readers();
+    const std::vector<feed_peer>& rest = plan_.get().others;
+    for (std::size_t i = 0; i < rest.size() && others.size() < settings_.max_others_asked; ++i) {
+        const feed_peer& next = rest[next_other_++ % rest.size()];
+        if (std::find(others.begin(), others.end(), next) == others.end()) {
+            others.push_back(next);
+        }
+    }
+    for (const feed_peer& each : others) {
+        candidates_.push_back(each);
+    }
+}
+
+bool replica_source::is_reader(const feed_peer& peer) const
+{
+    const std::vector<feed_peer>& readers = plan_.get().readers;
+    return std::find(readers.begin(), readers.end(), peer) != readers.end();
+}
+
 bool replica_source::may_search() const
 {
     return !searched_at_.has_value() || now_ - *searched_at_ >= settings_.search_pause;
@@ -79,7 +109,6 @@
 
 bool replica_source::holds(chart::symbol guard) const
 {
-    const std::vector<feed_peer>& readers = plan_.get().readers;
     switch (static_cast<source_guard>(guard)) {
     case source_guard::may_ask_reader:
         return !plan_.get().reads_store && may_search();
@@ -88,14 +117,13 @@
     case source_guard::store_answers:
         return host_.store_answers();
     case source_guard::reader_left:
-        return next_ < std::min(candidates_.size(), settings_.max_asked);
+        return next_ < candidates_.size();
     case source_guard::returns_to_store:
         return plan_.get().reads_store && now_ - store_left_at_ >= settings_.return_pause;
     case source_guard::reader_demoted:
         break;
     }
-    return !readers.empty() &&
-           std::find(readers.begin(), readers.end(), current_reader()) == readers.end();
+    return !plan_.get().readers.empty() && !is_reader(current_reader()) && may_search();
 }
 
 void replica_source::perform(chart::symbol action)
@@ -116,9 +144,10 @@
                          {"reads_store", plan_.get().reads_store}});
         break;
     case source_action::list_readers:
-        candidates_ = known_readers();
-        next_ = 0;
-        searched_at_ = now_;
+        list_readers();
+        break;
+    case source_action::list_everyone:
+        list_everyone();
         break;
     case source_action::ask_next:
         ++next_;
@@ -128,6 +157,7 @@
         host_.ask(current_reader(), settings_.feed_wait);
         break;
     case source_action::take_news:
+        last_source_.emplace(current_reader());
         host_.apply_answer();
         break;
     case source_action::note_failure:
--- a/src/replica/replica_source.hpp
+++ b/src/replica/replica_source.hpp
@@ -38,6 +38,7 @@
     follow_store,
     leave_store,
     list_readers,
+    list_everyone,
     ask_next,
     ask_again,
     take_news,
@@ -66,8 +67,10 @@
     const core::duration search_pause = std::chrono::seconds{2};
     /// Delay before a reader that has lost the store tries it again.
     const core::duration return_pause = std::chrono::seconds{3};
-    /// Maximum number of readers that are asked before falling back to the store.
-    const std::size_t max_asked = 3;
+    /// Maximum number of readers that are asked in one search.
+    const std::size_t max_readers_asked = 3;
+    /// Maximum number of other instances that are asked after them while the store doesn't answer.
+    const std::size_t max_others_asked = 3;
     const source_choice_settings choice;
     /// Addresses to ask while no instance is known.
     const std::vector<core::socket_address> seeds;
@@ -125,7 +128,7 @@
     void set_members(std::vector<feed_peer> members);
 
     /// @return true if all tables are read from the store, so that this instance can serve others
-    [[nodiscard]] bool reads_store() const;
+    [[nodiscard]] bool reads_store() const { return machine_.is_in("serving"); }
 
   private:
     const replica_source_settings settings_;
@@ -136,11 +139,19 @@
     core::instant store_left_at_;
     std::optional<core::instant> searched_at_;
     core::cell<source_plan> plan_;
-    /// Readers to ask; those before next_ have been asked.
+    /// Instances to ask; those before next_ have been asked.
     std::vector<feed_peer> candidates_;
     std::size_t next_ = 0;
+    /// The instance that answered last.
+    std::optional<core::cell<feed_peer>> last_source_;
+    /// Position of the next search among the instances that are no readers.
+    std::size_t next_other_ = 0;
 
+    /// @return readers, or the seeds if no instance is known
     [[nodiscard]] std::vector<feed_peer> known_readers() const;
+    void list_readers();
+    void list_everyone();
+    [[nodiscard]] bool is_reader(const feed_peer& peer) const;
     [[nodiscard]] bool may_search() const;
     [[nodiscard]] const feed_peer& current_reader() const { return candidates_.at(next_ - 1); }
 
--- a/src/replica/source_choice.cpp
+++ b/src/replica/source_choice.cpp
@@ -59,24 +59,29 @@
                            const core::failure_domain_name& domain,
                            const source_choice_settings& settings)
 {
-    ranking readers = choose_readers(rank_members(members), settings);
+    ranking ranked = rank_members(members);
+    const ranking chosen = choose_readers(ranked, settings);
+    const auto is_chosen = [&](const feed_peer* each) {
+        return std::find(chosen.begin(), chosen.end(), each) != chosen.end();
+    };
     const std::uint64_t key = core::hash_of(self.str());
-    std::sort(readers.begin(), readers.end(), [&](const feed_peer* left, const feed_peer* right) {
+    std::sort(ranked.begin(), ranked.end(), [&](const feed_peer* left, const feed_peer* right) {
         return std::tuple{left->domain != domain, ~core::rendezvous_weight(key, left->name.str())} <
                std::tuple{right->domain != domain,
                           ~core::rendezvous_weight(key, right->name.str())};
     });
     bool reads_store = members.empty();
+    std::vector<feed_peer> readers;
     std::vector<feed_peer> others;
-    for (const feed_peer* each : readers) {
+    for (const feed_peer* each : ranked) {
         if (each->name == self) {
-            reads_store = true;
+            reads_store = reads_store || is_chosen(each);
         }
         else {
-            others.push_back(*each);
+            (is_chosen(each) ? readers : others).push_back(*each);
         }
     }
-    return source_plan{reads_store || others.empty(), std::move(others)};
+    return source_plan{reads_store || readers.empty(), std::move(readers), std::move(others)};
 }
 
 } // namespace cyclamen::replica
--- a/src/replica/source_choice.hpp
+++ b/src/replica/source_choice.hpp
@@ -24,6 +24,9 @@
     const bool reads_store;
     /// Other readers to ask, in order of preference.
     const std::vector<feed_peer> readers;
+    /// All other instances, in an order that differs from instance to instance. They may read the
+    /// store while the readers can't.
+    const std::vector<feed_peer> others;
 
     auto operator<=>(const source_plan&) const = default;
 };
--- a/tests/replica/replica_source_test.cpp
+++ b/tests/replica/replica_source_test.cpp
@@ -1,5 +1,7 @@
 #include "replica/replica_source.hpp"
 
+#include <set>
+
 #include <boost/test/unit_test.hpp>
 
 #include "chart/library.hpp"
@@ -172,10 +174,14 @@
     source_fixture fixture{"i-0"};
     fixture.list_members(3);
     fixture.lose_store();
+    const std::string reader = fixture.asked.back();
     fixture.raise(source_event::reader_failed);
-    BOOST_TEST(fixture.asked.size() == 1U);
-    fixture.advance(2s);
     BOOST_TEST(fixture.asked.size() == 2U);
+    fixture.raise(source_event::reader_failed);
+    BOOST_TEST(fixture.asked.size() == 2U);
+    fixture.advance(2s);
+    BOOST_TEST(fixture.asked.size() == 3U);
+    BOOST_TEST(fixture.asked.back() == reader);
     fixture.raise(source_event::reader_answered);
     BOOST_TEST(fixture.updates == 1U);
 }
@@ -216,3 +222,69 @@
     fixture.raise(source_event::reader_failed);
     BOOST_TEST((fixture.scope == replica::store_scope::all_tables));
 }
+
+BOOST_AUTO_TEST_CASE(other_instances_are_asked_while_neither_the_store_nor_a_reader_answers)
+{
+    source_fixture fixture{"i-7"};
+    fixture.list_members(20);
+    fixture.lose_store();
+    const std::set<std::string> readers{"10.0.0.1:1", "10.0.0.1:2"};
+    std::set<std::string> others;
+    // Both readers are asked in each search, and three others that differ from search to search.
+    for (int search = 0; search < 6; ++search) {
+        for (int i = 0; i < 5; ++i) {
+            BOOST_TEST(readers.contains(fixture.asked.back()) == (i < 2));
+            if (i >= 2) {
+                others.insert(fixture.asked.back());
+            }
+            fixture.raise(source_event::reader_failed);
+        }
+        BOOST_TEST(fixture.follows_store());
+        fixture.advance(2s);
+    }
+    BOOST_TEST(others.size() == 17U);
+}
+
+BOOST_AUTO_TEST_CASE(an_instance_that_serves_others_while_no_reader_does_is_kept_as_the_source)
+{
+    source_fixture fixture{"i-7"};
+    fixture.list_members(20);
+    fixture.lose_store();
+    fixture.raise(source_event::reader_failed);
+    fixture.raise(source_event::reader_failed);
+    const std::string source = fixture.asked.back();
+    fixture.raise(source_event::reader_answered);
+    BOOST_TEST(fixture.asked.back() == source);
+    // The readers are tried again now and then, and the source after them.
+    fixture.advance(500ms);
+    fixture.raise(source_event::reader_answered);
+    BOOST_TEST(fixture.asked.back() == source);
+    for (int i = 0; i < 3; ++i) {
+        fixture.advance(500ms);
+        fixture.raise(source_event::reader_answered);
+    }
+    BOOST_TEST(fixture.asked.back() != source);
+    fixture.raise(source_event::reader_failed);
+    fixture.raise(source_event::reader_failed);
+    BOOST_TEST(fixture.asked.back() == source);
+}
+
+BOOST_AUTO_TEST_CASE(an_instance_keeps_serving_while_it_looks_for_a_reader)
+{
+    source_fixture fixture{"i-7"};
+    fixture.answer_from_store();
+    fixture.list_members(20);
+    fixture.raise(source_event::reader_failed);
+    fixture.raise(source_event::reader_failed);
+    fixture.answer_from_store();
+    BOOST_TEST(fixture.reads_store());
+    const std::size_t asked = fixture.asked.size();
+    fixture.advance(2s);
+    // Only readers are asked, so that two instances that read the store don't turn to each other.
+    BOOST_TEST(fixture.asked.size() > asked);
+    BOOST_TEST(fixture.reads_store());
+    fixture.raise(source_event::reader_failed);
+    fixture.raise(source_event::reader_failed);
+    BOOST_TEST(fixture.reads_store());
+    BOOST_TEST(fixture.asked.size() == asked + 2);
+}
