The age of an instance's configuration is bounded, whatever is lost on its way

Callers could see: a configuration of more than 2 s before at an instance that reaches the store, when losses follow each other.

Cause: each time limit on the way of a configuration is below the two seconds, but they add up. A reader answers its followers for up to a second while the store doesn't answer it, a follower waits 0.9 s for a reader that has gone and 0.4 s for each further one: 2.3 s with two losses in a row. Nothing bounded the sum.

Change: chart copy_freshness. An answer of a reader carries how long ago the store answered it; an instance whose first table has not been confirmed for 0.7 of the time in which a configuration must be in force asks the store itself, beside its source, until it is confirmed.

--- a/src/replica/replica_task.cpp
+++ b/src/replica/replica_task.cpp
@@ -18,12 +18,27 @@
 
 } // namespace
 
+absl::StatusOr<replica_charts> replica_charts::load(const chart::library& library)
+{
+    auto source = library.load("news_source", source_vocabulary());
+    if (!source.ok()) {
+        return source.status();
+    }
+    auto freshness = library.load("copy_freshness", freshness_vocabulary());
+    if (!freshness.ok()) {
+        return freshness.status();
+    }
+    return replica_charts{*std::move(source), *std::move(freshness)};
+}
+
 replica_task::replica_task(task::task_host& host, replica_settings settings,
-                           std::shared_ptr<const chart::chart> source, replica_listener& listener)
+                           const replica_charts& charts, replica_listener& listener)
     : basic_task{"replica", &host}, settings_{std::move(settings)}, listener_{listener},
-      source_{settings_.source, std::move(source), static_cast<replica_source_host&>(*this)},
+      source_{settings_.source, charts.source, static_cast<replica_source_host&>(*this)},
+      freshness_{settings_.max_age, charts.freshness, static_cast<freshness_host&>(*this)},
       timer_{loop(), [this] {
                  source_.on_timer(now());
+                 freshness_.on_timer(now());
                  answer_waiting_queries();
                  arm_timer();
              }}
@@ -51,6 +66,7 @@
     const core::duration limit = settings_.source.answer_limit;
     questions_ =
         std::make_unique<http::buffered_client>(loop(), http::client_settings{limit, limit});
+    freshness_.start();
     source_.start(now());
     arm_timer();
     return absl::OkStatus();
@@ -154,17 +170,31 @@
 
 void replica_task::follow_store(store_scope scope)
 {
-    std::vector<table_state> wanted;
-    if (scope == store_scope::nothing) {
-        answered_tables_.clear();
+    scope_ = scope;
+    update_followed_tables();
+}
+
+void replica_task::probe_store(bool on)
+{
+    probing_ = on;
+    update_followed_tables();
+}
+
+void replica_task::update_followed_tables()
+{
+    std::size_t count = probing_ ? 1 : 0;
+    if (scope_ != store_scope::nothing) {
+        count = scope_ == store_scope::all_tables ? settings_.tables.size() : 1;
     }
-    else {
-        const std::size_t count =
-            scope == store_scope::all_tables ? settings_.tables.size() : std::size_t{1};
-        for (std::size_t i = 0; i < count; ++i) {
-            const std::string& table = settings_.tables[i];
+    std::vector<table_state> wanted;
+    for (std::size_t i = 0; i < settings_.tables.size(); ++i) {
+        const std::string& table = settings_.tables[i];
+        if (i < count) {
             wanted.push_back(table_state{table, copies_.at(table).version()});
         }
+        else {
+            answered_tables_.erase(table);
+        }
     }
     store_->send(follow_tables{std::move(wanted)});
 }
@@ -218,8 +248,7 @@
 
 void replica_task::confirm(const core::instance_name& source, core::instant at)
 {
-    if (!confirmed_at_.has_value() || at > *confirmed_at_) {
-        confirmed_at_ = at;
+    if (freshness_.confirm(at, now())) {
         listener_.on_confirmed(source, at);
     }
 }
@@ -254,9 +283,10 @@
             updates.push_back(copy->second.changes_since(each.version));
         }
     }
-    server_->respond(
-        exchange, http::response_head{status_ok, {{"content-type", "application/x-protobuf"}}},
-        encode(feed_answer{std::move(updates), now() - confirmed_at_.value_or(now())}));
+    server_->respond(exchange,
+                     http::response_head{status_ok, {{"content-type", "application/x-protobuf"}}},
+                     encode(feed_answer{std::move(updates),
+                                        freshness_.age(now()).value_or(core::duration::zero())}));
 }
 
 void replica_task::reject(http::exchange_id exchange)
@@ -287,6 +317,9 @@
 void replica_task::arm_timer()
 {
     std::optional<core::instant> deadline = source_.next_deadline();
+    if (const auto outdated = freshness_.next_deadline(); outdated.has_value()) {
+        deadline = std::min(deadline.value_or(*outdated), *outdated);
+    }
     for (const auto& [exchange, waiting] : waiting_) {
         deadline = std::min(deadline.value_or(waiting.deadline), waiting.deadline);
     }
--- a/src/replica/replica_task.hpp
+++ b/src/replica/replica_task.hpp
@@ -7,9 +7,11 @@
 #include <string>
 #include <vector>
 
+#include "chart/library.hpp"
 #include "core/cell.hpp"
 #include "http/buffered_client.hpp"
 #include "http/server.hpp"
+#include "replica/copy_freshness.hpp"
 #include "replica/feed_codec.hpp"
 #include "replica/messages.hpp"
 #include "replica/replica_listener.hpp"
@@ -28,24 +30,37 @@
     /// Address at which other instances ask for tables.
     const core::socket_address feed;
     const replica_source_settings source;
+    /// Time since the store last confirmed the first table after which the store is probed.
+    const core::duration max_age = std::chrono::milliseconds{1400};
     /// Maximum number of pending queries of other instances; more are rejected.
     const std::size_t max_waiting = 256;
 
     auto operator<=>(const replica_settings&) const = default;
 };
 
+/// Charts that the replica task runs.
+struct replica_charts {
+    const std::shared_ptr<const chart::chart> source;
+    const std::shared_ptr<const chart::chart> freshness;
+
+    /// @return the charts `news_source` and `copy_freshness` of the library, or why they are
+    /// invalid
+    [[nodiscard]] static absl::StatusOr<replica_charts> load(const chart::library& library);
+};
+
 /// Keeps a copy of the platform's tables, and owns the sockets by which instances replicate them
 /// from each other.
 class replica_task final : public task::basic_task<replica_message>,
                            private http::server_handler,
-                           private replica_source_host {
+                           private replica_source_host,
+                           private freshness_host {
   public:
     /// @param host thread that the task runs on
     /// @param settings settings of the task
-    /// @param source the chart `news_source`
+    /// @param charts charts of the task
     /// @param listener receives changes of the tables; must outlive the task
-    replica_task(task::task_host& host, replica_settings settings,
-                 std::shared_ptr<const chart::chart> source, replica_listener& listener);
+    replica_task(task::task_host& host, replica_settings settings, const replica_charts& charts,
+                 replica_listener& listener);
     ~replica_task() override;
 
     /// Sets the receiver of follow_tables. Must be called before the host starts.
@@ -61,6 +76,7 @@
     const replica_settings settings_;
     replica_listener& listener_;
     replica_source source_;
+    copy_freshness freshness_;
     std::optional<task::ordered_sender<follow_tables>> store_;
     std::unique_ptr<http::server> server_;
     std::unique_ptr<http::buffered_client> questions_;
@@ -72,8 +88,9 @@
     /// The last query that was sent to a reader, and the reader's name, or else its address.
     http::exchange_id question_;
     core::cell<core::instance_name> asked_reader_{core::instance_name{}};
-    /// When the store last confirmed the first table, directly or through a reader.
-    std::optional<core::instant> confirmed_at_;
+    /// What the source and the freshness of the copies need from the store.
+    store_scope scope_ = store_scope::nothing;
+    bool probing_ = false;
     std::unique_ptr<const feed_answer> answer_;
     task::deadline_timer timer_;
 
@@ -94,7 +111,9 @@
     void ask(const feed_peer& reader, core::duration wait) override;
     void apply_answer() override;
     void cancel_question() override;
+    void probe_store(bool on) override;
 
+    void update_followed_tables();
     void apply(const table_update& update);
     void confirm(const core::instance_name& source, core::instant at);
     [[nodiscard]] std::vector<table_state> known() const;
--- a/tests/replica/replica_task_test.cpp
+++ b/tests/replica/replica_task_test.cpp
@@ -59,8 +59,7 @@
                                                      .domain = core::failure_domain_name{"a"},
                                                      .settle_time = 50ms,
                                                      .search_pause = 100ms}},
-                *chart::library::embedded().load("news_source", replica::source_vocabulary()),
-                updates_}
+                *replica::replica_charts::load(chart::library::embedded()), updates_}
     {
         task_.connect(store_);
         host_.add(task_);
@@ -142,3 +141,25 @@
     second.send(replica::store_failed{"op"});
     follower.await_store(1);
 }
+
+BOOST_AUTO_TEST_CASE(an_instance_probes_the_store_if_its_reader_has_heard_nothing_from_it)
+{
+    test_instance reader{"i-0", test::free_address()};
+    test_instance second{"i-1", test::free_address()};
+    test_instance follower{"i-2", test::free_address()};
+    const std::vector<replica::feed_peer> members{reader.peer(1.0), second.peer(0.9),
+                                                  follower.peer(0.1)};
+    for (test_instance* each : {&reader, &second, &follower}) {
+        each->send_from_store("op", 3, true, {{"config", "one", 3, false}});
+        each->send_from_store("servers", 3, true, {});
+        each->send(replica::peers_listed{true, members, {}});
+        BOOST_TEST(each->updates().take().complete);
+    }
+    follower.await_store(0);
+    // The store answers neither reader any more, and neither has noticed it: both still serve.
+    follower.await_store(1);
+    follower.send_from_store("op", 4, false, {{"config", "two", 4, false}});
+    BOOST_TEST(follower.updates().take().table == "servers");
+    BOOST_TEST(follower.updates().take().rows.at(0).value == "two");
+    follower.await_store(0);
+}
