The list of targets is probed with the configuration

Cause: the same sum of time limits delays the news that a target leaves, which has a time limit of its own (2 s). Found by looking for the cause of the late configuration elsewhere.

Change: an instance whose copies are outdated reads both tables from the store.

--- a/src/replica/replica_task.cpp
+++ b/src/replica/replica_task.cpp
@@ -182,9 +182,9 @@
 
 void replica_task::update_followed_tables()
 {
-    std::size_t count = probing_ ? 1 : 0;
+    std::size_t count = probing_ ? settings_.probed_tables : 0;
     if (scope_ != store_scope::nothing) {
-        count = scope_ == store_scope::all_tables ? settings_.tables.size() : 1;
+        count = std::max(count, scope_ == store_scope::all_tables ? settings_.tables.size() : 1);
     }
     std::vector<table_state> wanted;
     for (std::size_t i = 0; i < settings_.tables.size(); ++i) {
--- a/src/replica/replica_task.hpp
+++ b/src/replica/replica_task.hpp
@@ -32,6 +32,8 @@
     const replica_source_settings source;
     /// Time since the store last confirmed the first table after which the store is probed.
     const core::duration max_age = std::chrono::milliseconds{1400};
+    /// Number of tables, from the first one, that are then read from the store.
+    const std::size_t probed_tables = 1;
     /// Maximum number of pending queries of other instances; more are rejected.
     const std::size_t max_waiting = 256;
 
