Requests with a prompt part that crashes engines are stopped after a few crashes

Cause: nothing remembered which request had crashed an engine. Each went through all the runs of its route, came back to another instance, and the next request with the same part began anew: what they share is one part of the prompt, not the request.

Each crash shows as a loss after the head of the answer and before any event; requests that only waited at the engine lose it before the head.

Change: crash_evidence keeps for each such loss the shared parts of the prompt and a fingerprint of the request. Records go to all instances as rows of the table crashes, once a second one has a trait in common. A request is quarantined if it has every trait that three or more crashed requests with one of its traits have in common, but for traits with which requests were answered as often: first the one request, then, with the next that crashes, the parts that both have. It is refused at once with status 503 and Retry-After to the end of the quarantine (5 min after the last crash), and not sent on by retries.

Tests: requests_of_one_kind_do_not_crash_one_engine_after_the_other (decisions) and requests_with_a_deadly_prompt_part_do_not_crash_engine_after_engine (an instance with stand-ins, whose runners learn a deadly part); crash_evidence_test, quarantine_test and the codec's.

--- a/src/relay/messages.hpp
+++ b/src/relay/messages.hpp
@@ -12,6 +12,7 @@
 #include "core/identifier.hpp"
 #include "core/socket_address.hpp"
 #include "core/time.hpp"
+#include "relay/crash_evidence.hpp"
 #include "relay/member_registry.hpp"
 #include "relay/reported_load.hpp"
 #include "relay/route_table.hpp"
@@ -76,6 +77,8 @@
     const std::string prompt_key;
     /// Id of the last event that the caller received, if it resumes a stream.
     const std::optional<std::string> last_event;
+    /// Parts of the prompt that other requests may share.
+    const std::vector<std::string> shared_parts;
 
     bool operator==(const submission&) const = default;
 };
@@ -386,6 +389,29 @@
     bool operator==(const members_listed&) const = default;
 };
 
+/// The list of crashes that instances have reported has changed.
+struct crashes_listed {
+    const std::vector<crash_record> present;
+    /// Names of records that were removed.
+    const std::vector<std::string> gone;
+
+    bool operator==(const crashes_listed&) const = default;
+};
+
+/// Reports a crash to all instances.
+struct report_crash {
+    const crash_record crash;
+
+    auto operator<=>(const report_crash&) const = default;
+};
+
+/// Removes the report of a crash that no longer counts.
+struct withdraw_crash {
+    const std::string name;
+
+    auto operator<=>(const withdraw_crash&) const = default;
+};
+
 /// Adds this instance to the list of those that accept requests, or removes it.
 struct announce_member {
     const bool serving;
@@ -411,7 +437,8 @@
     std::variant<submission, caller_gone, metrics_query, stream_begun, stream_events,
                  stream_finished, attempt_answered, attempt_rejected, attempt_lost, run_copied,
                  target_answered, target_identified, instance_answered, configuration_read,
-                 configuration_confirmed, targets_listed, members_listed, stop_requested>;
+                 configuration_confirmed, targets_listed, members_listed, crashes_listed,
+                 stop_requested>;
 
 /// Messages to the entry task.
 using entry_command =
@@ -423,6 +450,6 @@
                                     identify_target, ask_instance>;
 
 /// Messages to the store task.
-using store_command = std::variant<announce_member, withdraw_member>;
+using store_command = std::variant<announce_member, withdraw_member, report_crash, withdraw_crash>;
 
 } // namespace cyclamen::relay
--- a/src/relay/relay_manager.cpp
+++ b/src/relay/relay_manager.cpp
@@ -23,10 +23,10 @@
 
 relay_manager::relay_manager(const relay_settings& settings, const relay_charts& charts,
                              std::unique_ptr<target_chooser> chooser, relay_host& host)
-    : settings_{settings}, charts_{charts}, host_{host},
-      targets_{settings_, charts.target_health, std::move(chooser)}, budget_{settings.retries},
-      lifecycle_{settings.lifecycle, charts.lifecycle, *this}, members_{settings_.name,
-                                                                        settings_.watch}
+    : settings_{settings}, charts_{charts}, host_{host}, targets_{settings_, charts.target_health,
+                                                                  std::move(chooser)},
+      budget_{settings.retries}, lifecycle_{settings.lifecycle, charts.lifecycle, *this},
+      members_{settings_.name, settings_.watch}, crashes_{settings_.crashes}
 {
 }
 
@@ -75,25 +75,29 @@
 void relay_manager::on(const submission& submitted)
 {
     if (table_ == nullptr) {
-        refuse(submitted, core::error_kind::overloaded, "no configuration has been read yet", true);
+        refuse(submitted, core::error_kind::overloaded, "no configuration has been read yet",
+               settings_.requests.retry_after);
         return;
     }
     const route* matched_route =
         table_->find_route(submitted.content->host, submitted.content->path);
     if (matched_route == nullptr) {
-        refuse(submitted, core::error_kind::not_found, "no route matches the host and path", true);
+        refuse(submitted, core::error_kind::not_found, "no route matches the host and path",
+               settings_.requests.retry_after);
         return;
     }
     if (lifecycle_.is_leaving() && matched_route->kind == request_kind::streaming) {
         // The stream might outlast the process; another instance can serve all of it.
-        refuse(submitted, core::error_kind::overloaded, "the instance is leaving", true);
+        refuse(submitted, core::error_kind::overloaded, "the instance is leaving",
+               settings_.requests.retry_after);
         return;
     }
     core::account_name account;
     if (table_->needs_keys() && !matched_route->is_public) {
         const core::account_name* found = table_->find_account(submitted.key);
         if (found == nullptr) {
-            refuse(submitted, core::error_kind::unauthenticated, "the API key is unknown", true);
+            refuse(submitted, core::error_kind::unauthenticated, "the API key is unknown",
+                   settings_.requests.retry_after);
             return;
         }
         account = *found;
@@ -102,13 +106,19 @@
     const service_traits* traits = table_->find_service(service);
     last_request_ = last_request_.next();
     const request_number number = last_request_;
+    const bool has_engine = traits != nullptr && traits->engine.has_value();
     request_plan plan{number,
                       submitted,
                       *matched_route,
                       service,
-                      traits == nullptr ? std::nullopt : traits->engine,
+                      has_engine ? traits->engine : std::nullopt,
                       account,
-                      now_};
+                      now_,
+                      has_engine ? traits_of(submitted, account) : request_traits{}};
+    if (const auto quarantine = quarantine_of(plan); quarantine.has_value()) {
+        refuse(submitted, core::error_kind::quarantined, quarantine_problem, *quarantine);
+        return;
+    }
     auto made =
         std::make_unique<relayed_request>(std::move(plan), settings_.requests, charts_.request,
                                           charts_.protection, static_cast<request_host&>(*this));
@@ -148,6 +158,20 @@
     confirmation_.emplace(confirmation);
 }
 
+void relay_manager::on(const crashes_listed& update)
+{
+    for (const std::string& each : update.gone) {
+        crashes_.remove(each);
+    }
+    for (const crash_record& each : update.present) {
+        crashes_.add(each, now_);
+        core::log_event(core::log_level::info, "crash_learnt",
+                        {{"record", each.name},
+                         {"service", each.service.str()},
+                         {"traits", core::join(each.traits, ",")}});
+    }
+}
+
 void relay_manager::on(const targets_listed& update)
 {
     targets_.on_targets(update, now_);
@@ -196,6 +220,7 @@
 void relay_manager::watch()
 {
     next_watch_at_ = now_ + settings_.watch.period;
+    withdraw_expired_crashes();
     if (const auto watched = members_.watched(); watched.has_value()) {
         host_.send(ask_instance{watched->name, watched->readiness_address});
     }
@@ -227,7 +252,7 @@
 }
 
 void relay_manager::refuse(const submission& refused, core::error_kind kind,
-                           std::string_view problem, bool not_run)
+                           std::string_view problem, core::duration retry_after)
 {
     core::log_event(core::log_level::info, "request_refused",
                     {{"request", refused.content->id},
@@ -237,8 +262,8 @@
                      {"revision", table_ == nullptr ? 0 : table_->revision().value()},
                      {"confirmed_by", confirming_source()},
                      {"confirmed_ms_ago", confirmation_age_ms()}});
-    host_.send(answer_refused{refused.caller, core::failure{kind, std::string{problem}, not_run,
-                                                            settings_.requests.retry_after}});
+    host_.send(answer_refused{refused.caller,
+                              core::failure{kind, std::string{problem}, true, retry_after}});
 }
 
 std::string relay_manager::confirming_source() const
@@ -385,6 +410,56 @@
     host_.send(metrics_answer{query.caller, metrics_.text(requests_.size(), targets_.size())});
 }
 
+request_traits relay_manager::traits_of(const submission& submitted,
+                                        const core::account_name& account)
+{
+    request_traits traits{submitted.shared_parts.begin(), submitted.shared_parts.end()};
+    traits.insert(core::concat(
+        "request:",
+        core::hash_of(account.str(), core::hash_of(submitted.content->path,
+                                                   core::hash_of(submitted.content->body)))));
+    return traits;
+}
+
+std::optional<core::duration> relay_manager::quarantine_of(const request_plan& plan) const
+{
+    return crashes_.quarantine_of(plan.service, plan.traits, now_);
+}
+
+void relay_manager::on_crash(const request_plan& plan, core::attempt_number attempt)
+{
+    const crash_record crash{core::concat(settings_.name.str(), "-",
+                                          core::hash_of(plan.submitted.content->id), "-",
+                                          attempt.value()),
+                             plan.service, plan.traits};
+    for (const crash_record& each : crashes_.add_own(crash, now_)) {
+        core::log_event(core::log_level::warning, "crash_reported",
+                        {{"record", each.name},
+                         {"service", each.service.str()},
+                         {"traits", core::join(each.traits, ",")},
+                         {"known_crashes", crashes_.size()}});
+        host_.send(report_crash{each});
+    }
+}
+
+void relay_manager::on_survived(const request_plan& plan)
+{
+    const std::vector<std::string>& parts = plan.submitted.shared_parts;
+    crashes_.add_answered(plan.service, request_traits{parts.begin(), parts.end()});
+}
+
+void relay_manager::withdraw_expired_crashes()
+{
+    const std::vector<std::string> expired = crashes_.take_expired(now_);
+    const std::vector<member> members = members_.members();
+    // One instance of the fleet removes the records of all.
+    if (!members.empty() && members.front().name == settings_.name) {
+        for (const std::string& each : expired) {
+            host_.send(withdraw_crash{each});
+        }
+    }
+}
+
 void relay_manager::on_loss(const core::target_name& target)
 {
     targets_.on_loss(target, now_);
--- a/src/relay/relay_manager.hpp
+++ b/src/relay/relay_manager.hpp
@@ -68,6 +68,7 @@
     route_table_ptr table_;
     std::optional<core::cell<configuration_confirmed>> confirmation_;
     member_registry members_;
+    crash_evidence crashes_;
     std::optional<core::instant> next_watch_at_;
     std::map<request_number, std::unique_ptr<relayed_request>> requests_;
     std::map<caller_id, request_number> callers_;
@@ -80,6 +81,7 @@
     void on(const metrics_query& query);
     void on(const configuration_read& update);
     void on(const configuration_confirmed& confirmation);
+    void on(const crashes_listed& update);
     void on(const targets_listed& update);
     void on(const members_listed& update);
     void on(const instance_answered& answer);
@@ -93,8 +95,13 @@
     template <class Report>
     void on(const Report& report);
 
+    /// Refuses a request that no target has received.
     void refuse(const submission& refused, core::error_kind kind, std::string_view problem,
-                bool not_run);
+                core::duration retry_after);
+    /// @return what may make an engine crash on the request
+    [[nodiscard]] static request_traits traits_of(const submission& submitted,
+                                                  const core::account_name& account);
+    void withdraw_expired_crashes();
     /// @return the instance that last confirmed the configuration, for the log
     [[nodiscard]] std::string confirming_source() const;
     /// @return time since the store last confirmed the configuration in ms, -1 if it never did
@@ -122,6 +129,10 @@
     void on_answered(const request_plan& plan, core::duration waited) override;
     void on_ended(const request_plan& plan, std::string_view outcome) override;
     void on_attempt_ended(const request_plan& plan, std::string_view event) override;
+    [[nodiscard]] std::optional<core::duration>
+    quarantine_of(const request_plan& plan) const override;
+    void on_crash(const request_plan& plan, core::attempt_number attempt) override;
+    void on_survived(const request_plan& plan) override;
     void on_loss(const core::target_name& target) override;
     void on_success(const core::target_name& target) override;
     void on_misdirected(const target_record& listed) override;
--- a/src/relay/relay_settings.hpp
+++ b/src/relay/relay_settings.hpp
@@ -6,6 +6,7 @@
 #include "core/identifier.hpp"
 #include "core/socket_address.hpp"
 #include "core/time.hpp"
+#include "relay/crash_evidence.hpp"
 #include "relay/entry_lifecycle.hpp"
 #include "relay/member_registry.hpp"
 #include "relay/run_protection.hpp"
@@ -28,6 +29,9 @@
     /// Time limit for candidates to report their load: covers one round trip between failure
     /// domains and scheduling delay.
     const core::duration survey_limit = std::chrono::milliseconds{25};
+    /// A target that is lost within this time after it began to answer a request may have crashed
+    /// because of it.
+    const core::duration crash_window = std::chrono::milliseconds{300};
     /// Delay before a request without a target looks for one again.
     const core::duration placement_pause = std::chrono::milliseconds{50};
     /// Fraction of the answer goal that a request may wait for its first target.
@@ -101,6 +105,7 @@
     const placement_settings placement;
     const entry_lifecycle_settings lifecycle;
     const watch_settings watch;
+    const crash_evidence_settings crashes;
 
     auto operator<=>(const relay_settings&) const = default;
 };
--- a/src/relay/relayed_request.cpp
+++ b/src/relay/relayed_request.cpp
@@ -53,6 +53,7 @@
     if (!answer_begun_) {
         head_.emplace(report.head);
     }
+    begun_at_ = begun_at_.value_or(now);
     raise(request_event::stream_begun, now);
 }
 
@@ -60,6 +61,8 @@
 {
     pending_events_ = report.bytes;
     last_event_ = report.last_event;
+    now_ = now;
+    note_progress();
     raise(request_event::events_arrived, now);
 }
 
@@ -98,9 +101,38 @@
         --runs_;
     }
     loss_detail_ = loss.detail;
+    now_ = now;
+    if (may_have_crashed_target()) {
+        host_.on_crash(plan_, attempt_);
+    }
     raise(request_event::attempt_lost, now);
 }
 
+void relayed_request::note_progress()
+{
+    if (!survived_ && begun_at_.has_value() && now_ - *begun_at_ >= settings_.crash_window) {
+        survived_ = true;
+        host_.on_survived(plan_);
+    }
+}
+
+bool relayed_request::may_have_crashed_target() const
+{
+    return !survived_ && begun_at_.has_value() && now_ - *begun_at_ < settings_.crash_window &&
+           !plan_.traits.empty();
+}
+
+bool relayed_request::is_quarantined() const
+{
+    return host_.quarantine_of(plan_).has_value();
+}
+
+void relayed_request::refuse_quarantined()
+{
+    refuse(core::error_kind::quarantined, quarantine_problem, true,
+           host_.quarantine_of(plan_).value_or(settings_.retry_after));
+}
+
 void relayed_request::on(const target_answered& answer, core::instant now)
 {
     if (placed_.has_value()) {
@@ -249,7 +281,7 @@
             return offers_ < settings_.max_offers;
         }
         return is_idempotent() && runs_ < plan_.matched_route.max_runs &&
-               host_.may_retry(plan_.service);
+               host_.may_retry(plan_.service) && !is_quarantined();
     case request_guard::replaces_failure:
         return received_answer_->get().head.status >= first_failure_status && is_idempotent() &&
                !answer_begun_ && runs_ < plan_.matched_route.max_runs &&
@@ -329,6 +361,9 @@
     case request_action::refuse_unplaced:
         refuse(core::error_kind::overloaded, "no target is available", true, settings_.retry_after);
         break;
+    case request_action::refuse_quarantined:
+        refuse_quarantined();
+        break;
     case request_action::refuse_rejected:
         refuse(core::error_kind::overloaded, "the targets that were tried are full", true,
                settings_.retry_after);
@@ -380,6 +415,7 @@
                      {"copy_at", has_copy ? placed.standby->name.str() : "none"},
                      {"last_event", last_event_.value_or("none")},
                      {"after_ms", core::to_milliseconds(now_ - plan_.accepted)},
+                     {"may_have_crashed", may_have_crashed_target()},
                      {"detail", loss_detail_}});
 }
 
--- a/src/relay/relayed_request.hpp
+++ b/src/relay/relayed_request.hpp
@@ -26,10 +26,16 @@
     const std::optional<engine_traits> engine;
     const core::account_name account;
     const core::instant accepted;
+    /// What may make an engine crash; empty for plain services.
+    const request_traits traits;
 
     bool operator==(const request_plan&) const = default;
 };
 
+/// Why a quarantined request is refused.
+inline constexpr std::string_view quarantine_problem =
+    "requests with these prompt parts crash the targets that run them";
+
 /// Callbacks of relayed_request, implemented by its owner. Called on the decision task.
 class request_host {
   public:
@@ -70,6 +76,14 @@
     /// An attempt was rejected or failed.
     virtual void on_attempt_ended(const request_plan& plan, std::string_view event) = 0;
 
+    /// @return how long the request remains quarantined, empty if it may run
+    [[nodiscard]] virtual std::optional<core::duration>
+    quarantine_of(const request_plan& plan) const = 0;
+    /// A target was lost right after it had begun to answer the request.
+    virtual void on_crash(const request_plan& plan, core::attempt_number attempt) = 0;
+    /// A target answered the request for a while without a crash.
+    virtual void on_survived(const request_plan& plan) = 0;
+
     /// A target lost an attempt or didn't respond.
     virtual void on_loss(const core::target_name& target) = 0;
     virtual void on_success(const core::target_name& target) = 0;
@@ -149,6 +163,9 @@
     bool may_have_run_ = false;
     bool attempt_sent_ = false;
     bool attempt_has_events_ = false;
+    /// When the target of the current attempt began to answer.
+    std::optional<core::instant> begun_at_;
+    bool survived_ = false;
     bool answer_begun_ = false;
     std::optional<std::string> last_event_;
     std::optional<core::cell<answer_head>> head_;
@@ -161,6 +178,11 @@
     [[nodiscard]] core::instant answer_deadline() const;
     [[nodiscard]] core::duration timeout_duration(request_timeout timeout) const;
     void release_attempt();
+    void note_progress();
+    /// @return true if the current attempt was lost right after its target had begun to answer
+    [[nodiscard]] bool may_have_crashed_target() const;
+    [[nodiscard]] bool is_quarantined() const;
+    void refuse_quarantined();
     void record_attempt_end(std::string_view event);
     void refuse(core::error_kind kind, std::string_view problem, bool not_run,
                 core::duration retry_after);
--- a/src/relay/relayed_request_placement.cpp
+++ b/src/relay/relayed_request_placement.cpp
@@ -24,6 +24,10 @@
 {
     loads_.clear();
     pending_candidates_.clear();
+    if (is_quarantined()) {
+        follow_up_ = request_event::quarantine_found;
+        return;
+    }
     // No survey if the target is given by its copy, nor for plain services, which report no load.
     if (plan_.engine.has_value() && !copy_holder_.has_value()) {
         for (const target_record& each : host_.survey(make_query())) {
@@ -64,6 +68,7 @@
 {
     attempt_ = attempt_.next();
     attempt_has_events_ = false;
+    begun_at_.reset();
     attempt_sent_ = true;
     const placement& placed = placed_->get();
     if (offers_ > 0) {
--- a/src/standin/runner_task.cpp
+++ b/src/standin/runner_task.cpp
@@ -22,6 +22,7 @@
 constexpr std::string_view copy_path = "/stand-in-copy/";
 
 constexpr std::string_view id_field = "x-cyclamencourse-request-id";
+constexpr std::string_view parts_field = "x-cyclamencourse-prompt-prefix";
 constexpr std::string_view seal_field = "x-cyclamencourse-response-seal";
 
 std::uint64_t to_number(std::string_view text)
@@ -35,7 +36,7 @@
 ///         the request
 std::string answer_seed(const http::request& request)
 {
-    const std::string_view parts = request.find_header("x-cyclamencourse-prompt-prefix");
+    const std::string_view parts = request.find_header(parts_field);
     return std::string{parts.empty() ? request.find_header(id_field) : parts};
 }
 
@@ -143,21 +144,39 @@
     fault_ = command.kind;
     if (fault_ == runner_fault::none && ends_incarnation) {
         end_incarnation();
-        const std::string previous_name = name();
-        ++incarnation_;
-        begin_incarnation();
-        write_row("ready", previous_name);
-        // Closes the connections of the previous incarnation.
-        server_.reset();
-        if (const absl::Status listening = listen(); !listening.ok()) {
-            core::log_event(core::log_level::error, "runner_not_listening",
-                            {{"reason", std::string{listening.message()}}});
-        }
+        restart();
+    }
+}
+
+void runner_task::restart()
+{
+    const std::string previous_name = name();
+    ++incarnation_;
+    begin_incarnation();
+    write_row("ready", previous_name);
+    // Closes the connections of the previous incarnation.
+    server_.reset();
+    if (const absl::Status listening = listen(); !listening.ok()) {
+        core::log_event(core::log_level::error, "runner_not_listening",
+                        {{"reason", std::string{listening.message()}}});
     }
 }
 
+void runner_task::crash(active_run& run)
+{
+    report_event(runner_report::event::crashed, run);
+    server_->send(run.exchange, "id: ", false);
+    loop().cancel(restart_timer_);
+    restart_timer_ = loop().run_after(core::duration::zero(), [this] {
+        end_incarnation();
+        server_.reset();
+        restart_timer_ = loop().run_after(settings_.restart_time, [this] { restart(); });
+    });
+}
+
 void runner_task::on_stop()
 {
+    loop().cancel(restart_timer_);
     server_.reset();
     client_.reset();
 }
@@ -314,6 +333,12 @@
         std::vector<http::header> fields = answer_fields(run);
         fields.push_back({"content-type", "text/event-stream"});
         server_->send_head(exchange, http::response_head{status_ok, std::move(fields)});
+        if (!settings_.deadly_part.empty() &&
+            run.request.find_header(parts_field).find(settings_.deadly_part) !=
+                std::string_view::npos) {
+            crash(run);
+            return;
+        }
     }
     const std::uint64_t number = run.next_event;
     const std::string event =
--- a/src/standin/runner_task.hpp
+++ b/src/standin/runner_task.hpp
@@ -34,6 +34,10 @@
     const core::duration event_gap = std::chrono::milliseconds{20};
     /// Number of the last event of a stream.
     const std::uint64_t stream_events = 60;
+    /// Prompt part that makes the runner crash when it begins to answer; empty for none.
+    const std::string deadly_part = {};
+    /// Time from a crash to the next incarnation.
+    const core::duration restart_time = std::chrono::milliseconds{300};
     /// Time between two copies of a run to its standby.
     const core::duration copy_interval = std::chrono::milliseconds{50};
 
@@ -85,6 +89,8 @@
         disconnected,
         /// The runner has been listed as draining.
         leaving,
+        /// The request has crashed the runner.
+        crashed,
     };
 
     const event kind;
@@ -141,6 +147,7 @@
     http::exchange_id last_copy_request_;
     runner_fault fault_ = runner_fault::none;
     std::uint64_t incarnation_ = 1;
+    task::timer_id restart_timer_;
     std::uint64_t started_ms_ = 0;
     std::map<http::exchange_id, std::unique_ptr<active_run>> runs_;
     /// Standby copies from other runners: number of the last event of the run, by request id.
@@ -169,6 +176,8 @@
     void start_run(http::exchange_id exchange, const http::request& request);
     void send_plain_answer(active_run& run);
     void send_event(active_run& run);
+    void crash(active_run& run);
+    void restart();
     void send_copy(active_run& run);
     void remove_run(http::exchange_id exchange);
     void report_event(runner_report::event kind, const active_run& run);
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -2,6 +2,7 @@
 #include <nlohmann/json.hpp>
 
 #include "platform/configuration_codec.hpp"
+#include "platform/crash_codec.hpp"
 #include "platform/entry_codec.hpp"
 #include "platform/member_codec.hpp"
 #include "platform/store_codec.hpp"
@@ -219,3 +220,38 @@
     BOOST_TEST(!platform::decode_member(replica::row{"i-1", "{}", 7, false}).ok());
     BOOST_TEST(!platform::decode_member(replica::row{"i-1", "[1", 7, false}).ok());
 }
+
+BOOST_AUTO_TEST_CASE(a_crash_row_round_trips_and_a_malformed_one_is_an_error)
+{
+    const relay::crash_record crash{
+        "i-0-7-1", core::service_name{"engines"}, {"5c1e07a2", "request:12"}};
+    const std::string value = platform::encode_crash(crash);
+    BOOST_TEST((platform::decode_crash(replica::row{"i-0-7-1", value, 3, false}).value() == crash));
+    for (const char* malformed :
+         {"", "{}", "[1]", R"({"service":"s","traits":[]})", R"({"service":1,"traits":["a"]})"}) {
+        BOOST_TEST(!platform::decode_crash(replica::row{"k", malformed, 3, false}).ok());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(all_parts_of_a_prompt_but_the_last_may_be_shared)
+{
+    const auto shared_parts = [](const std::string& prefix) {
+        return platform::decode_submission(
+                   http::request{"POST",
+                                 "/p/x",
+                                 {{"x-cyclamencourse-request-id", "1"},
+                                  {"x-cyclamencourse-prompt-prefix", prefix}},
+                                 ""},
+                   relay::caller_id{1})
+            ->shared_parts;
+    };
+    BOOST_TEST(shared_parts("").empty());
+    BOOST_TEST(shared_parts("a:200").empty());
+    BOOST_TEST((shared_parts("a:200, b:165,c:4000") == std::vector<std::string>{"a", "b"}));
+    std::string many;
+    for (int i = 0; i < 100; ++i) {
+        many += std::string(1000, 'x') + ":1,";
+    }
+    BOOST_TEST(shared_parts(many).size() == 16U);
+    BOOST_TEST(shared_parts(many).front().size() == 64U);
+}
--- a/tests/platform/instance_test.cpp
+++ b/tests/platform/instance_test.cpp
@@ -42,9 +42,18 @@
     }
 
     /// @return true if the text was logged
-    [[nodiscard]] bool contains(std::string_view text) const
+    [[nodiscard]] bool contains(std::string_view text) const { return count(text) > 0; }
+
+    /// @return how often the text was logged
+    [[nodiscard]] std::size_t count(std::string_view text) const
     {
-        return text_.str().find(text) != std::string::npos;
+        const std::string logged = text_.str();
+        std::size_t found = 0;
+        for (std::size_t at = logged.find(text); at != std::string::npos;
+             at = logged.find(text, at + 1)) {
+            ++found;
+        }
+        return found;
     }
 
   private:
@@ -77,15 +86,18 @@
     ~platform_fixture() { instance_->stop(); }
 
     /// Sends a request and waits for its answer.
+    /// @param shared_parts prompt parts before the request's own one, each followed by a comma
     /// @return the answer; status 0 if the connection was closed without one
-    http::request_result send(const std::string& id, const std::string& path, bool streams)
+    http::request_result send(const std::string& id, const std::string& path, bool streams,
+                              const std::string& shared_parts = "")
     {
         std::vector<http::header> headers{{"host", "test.example"},
                                           {"x-cyclamencourse-request-id", id},
                                           {"x-cyclamencourse-deadline-ms", "5000"}};
         if (streams) {
             headers.push_back({"x-cyclamencourse-token-counts", "100,600"});
-            headers.push_back({"x-cyclamencourse-prompt-prefix", "part-" + id + ":100"});
+            headers.push_back(
+                {"x-cyclamencourse-prompt-prefix", shared_parts + "part-" + id + ":100"});
         }
         const auto result = http::fetch(entry_, http::request{"POST", path, headers, "body"}, 10s);
         return result.ok() ? *result : http::request_result{{}, 0, "", "cut"};
@@ -162,7 +174,8 @@
                                      .listen = listen,
                                      .listed_address = listen,
                                      .service = service,
-                                     .failure_domain = domain},
+                                     .failure_domain = domain,
+                                     .deadly_part = "deadly"},
             nullptr, store_.inbox());
         BOOST_REQUIRE(runner->start().ok());
         runners_.emplace(name, std::move(runner));
@@ -281,3 +294,21 @@
     // The settings want a configuration in force within 2 s.
     BOOST_TEST(fixture.await_new_route(2s));
 }
+
+BOOST_AUTO_TEST_CASE(requests_with_a_deadly_prompt_part_do_not_crash_engine_after_engine)
+{
+    captured_log log;
+    platform_fixture fixture;
+    constexpr int status_unavailable = 503;
+    int status = 0;
+    for (int i = 0; i < 6; ++i) {
+        status =
+            fixture.send("bad-" + std::to_string(i), "/s/x", true, "head:100,deadly:50,").status;
+        // Until the engines are back.
+        std::this_thread::sleep_for(700ms);
+    }
+    BOOST_TEST(status == status_unavailable);
+    BOOST_TEST(log.count("may_have_crashed=true") <= 5U);
+    const auto sound = fixture.send("good-1", "/s/x", true, "head:100,");
+    BOOST_TEST(sound.body.find("id: 60\n") != std::string::npos);
+}
--- /dev/null
+++ b/tests/relay/crash_evidence_test.cpp
@@ -0,0 +1,137 @@
+#include "relay/crash_evidence.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace cyclamen;
+using namespace std::chrono_literals;
+using relay::request_traits;
+
+namespace {
+
+/// Evidence of one service in virtual time.
+class evidence_fixture {
+  public:
+    /// Adds a crash that this instance has seen.
+    /// @return number of records that are to be reported
+    std::size_t crash(const request_traits& traits)
+    {
+        return evidence.add_own(record(traits), now).size();
+    }
+
+    /// Adds a crash that another instance has reported.
+    void learn(const request_traits& traits) { evidence.add(record(traits), now); }
+
+    void answer(const request_traits& traits, int times)
+    {
+        for (int i = 0; i < times; ++i) {
+            evidence.add_answered(service, traits);
+        }
+    }
+
+    [[nodiscard]] bool is_quarantined(const request_traits& traits) const
+    {
+        return evidence.quarantine_of(service, traits, now).has_value();
+    }
+
+    const core::service_name service{"engines"};
+    core::instant now{};
+    relay::crash_evidence evidence;
+
+  private:
+    int last_ = 0;
+
+    relay::crash_record record(const request_traits& traits)
+    {
+        return relay::crash_record{"r-" + std::to_string(++last_), service, traits};
+    }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(one_request_that_crashes_three_targets_is_quarantined_alone)
+{
+    evidence_fixture fixture;
+    for (int i = 0; i < 2; ++i) {
+        fixture.crash({"shared", "deadly", "request:1"});
+        BOOST_TEST(!fixture.is_quarantined({"shared", "deadly", "request:1"}));
+    }
+    fixture.crash({"shared", "deadly", "request:1"});
+    BOOST_TEST(fixture.is_quarantined({"shared", "deadly", "request:1"}));
+    // Which of its traits is the cause is not known yet.
+    BOOST_TEST(!fixture.is_quarantined({"shared", "deadly", "request:2"}));
+    BOOST_TEST(!fixture.is_quarantined({"shared", "request:3"}));
+}
+
+BOOST_AUTO_TEST_CASE(parts_that_crashed_requests_have_in_common_are_quarantined_together)
+{
+    evidence_fixture fixture;
+    for (int i = 0; i < 3; ++i) {
+        fixture.crash({"shared", "deadly", "request:1"});
+    }
+    fixture.learn({"shared", "deadly", "request:2"});
+    BOOST_TEST(fixture.is_quarantined({"shared", "deadly", "request:3"}));
+    BOOST_TEST(fixture.is_quarantined({"shared", "other", "deadly", "request:3"}));
+    BOOST_TEST(!fixture.is_quarantined({"shared", "request:3"}));
+    BOOST_TEST(!fixture.is_quarantined({"deadly", "request:3"}));
+}
+
+BOOST_AUTO_TEST_CASE(a_part_with_which_requests_are_answered_is_cleared)
+{
+    evidence_fixture fixture;
+    for (int i = 0; i < 3; ++i) {
+        fixture.crash({"shared", "deadly", "request:1"});
+    }
+    fixture.crash({"shared", "deadly", "request:2"});
+    fixture.answer({"shared"}, 4);
+    BOOST_TEST(fixture.is_quarantined({"deadly", "request:3"}));
+    BOOST_TEST(!fixture.is_quarantined({"shared", "request:3"}));
+}
+
+BOOST_AUTO_TEST_CASE(two_deadly_parts_are_told_apart)
+{
+    evidence_fixture fixture;
+    for (const char* deadly : {"deadly-1", "deadly-2"}) {
+        for (int i = 0; i < 4; ++i) {
+            fixture.learn({"shared", deadly, "request:" + std::to_string(i) + deadly});
+        }
+    }
+    fixture.answer({"shared"}, 8);
+    BOOST_TEST(fixture.is_quarantined({"deadly-1", "request:9"}));
+    BOOST_TEST(fixture.is_quarantined({"shared", "deadly-2", "request:9"}));
+    BOOST_TEST(!fixture.is_quarantined({"shared", "request:9"}));
+}
+
+BOOST_AUTO_TEST_CASE(crashes_of_unrelated_requests_quarantine_nothing)
+{
+    evidence_fixture fixture;
+    for (int i = 0; i < 20; ++i) {
+        const std::string number = std::to_string(i);
+        BOOST_TEST(fixture.crash({"shared-" + number, "request:" + number}) == 0U);
+        BOOST_TEST(!fixture.is_quarantined({"shared-" + number, "request:" + number}));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_crash_is_reported_once_a_second_one_is_alike)
+{
+    evidence_fixture fixture;
+    BOOST_TEST(fixture.crash({"part", "request:1"}) == 0U);
+    BOOST_TEST(fixture.crash({"part", "request:1"}) == 2U);
+    BOOST_TEST(fixture.crash({"part", "request:1"}) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(records_expire_and_are_bounded)
+{
+    evidence_fixture fixture;
+    for (int i = 0; i < 3; ++i) {
+        fixture.crash({"part", "request:1"});
+    }
+    BOOST_TEST((*fixture.evidence.quarantine_of(fixture.service, {"part", "request:1"},
+                                                fixture.now) == 5min));
+    fixture.now += 5min;
+    BOOST_TEST(fixture.evidence.take_expired(fixture.now).size() == 3U);
+    BOOST_TEST(!fixture.is_quarantined({"part", "request:1"}));
+    for (int i = 0; i < 1000; ++i) {
+        fixture.learn({"part-" + std::to_string(i)});
+    }
+    BOOST_TEST(fixture.evidence.size() == 256U);
+}
--- /dev/null
+++ b/tests/relay/quarantine_test.cpp
@@ -0,0 +1,105 @@
+#include "relay/test_fixture.hpp"
+
+using namespace cyclamen;
+using namespace std::chrono_literals;
+using test::relay_fixture;
+
+namespace {
+
+std::size_t attempts(const relay_fixture& fixture)
+{
+    return relay_fixture::count<relay::open_attempt>(fixture.to_targets);
+}
+
+const core::failure& last_refusal(const relay_fixture& fixture)
+{
+    const auto* refused = relay_fixture::find_last<relay::answer_refused>(fixture.to_entries);
+    BOOST_REQUIRE(refused != nullptr);
+    return refused->reason;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(requests_of_one_kind_do_not_crash_one_engine_after_the_other)
+{
+    relay_fixture fixture;
+    fixture.apply_configuration(2, relay::request_kind::streaming, "key-1", 5);
+    fixture.list_targets(9);
+    std::size_t crashes = 0;
+    for (std::uint64_t caller = 1; caller <= 10; ++caller) {
+        fixture.submit_parts(caller, {"shared", "deadly"});
+        for (int i = 0; i < 5 && fixture.open_requests() > 0; ++i) {
+            fixture.crash_attempt();
+            ++crashes;
+            fixture.advance(100ms);
+        }
+    }
+    // The rule of the platform counts from the fifth crash.
+    BOOST_TEST(crashes <= 5U);
+    BOOST_TEST(last_refusal(fixture).not_run);
+    BOOST_TEST((last_refusal(fixture).kind == core::error_kind::quarantined));
+    // A request that shares the other part and the account runs.
+    const std::size_t before = attempts(fixture);
+    fixture.submit_parts(11, {"shared"});
+    BOOST_TEST(attempts(fixture) == before + 1);
+}
+
+BOOST_AUTO_TEST_CASE(crashes_that_other_instances_report_quarantine_a_request)
+{
+    relay_fixture fixture;
+    std::vector<relay::crash_record> learnt;
+    for (int i = 0; i < 3; ++i) {
+        const std::string number = std::to_string(i);
+        learnt.push_back(relay::crash_record{
+            "i-2-" + number, core::service_name{"engines"}, {"deadly", "request:" + number}});
+    }
+    fixture.handle(relay::crashes_listed{learnt, {}});
+    fixture.submit_parts(1, {"deadly"});
+    BOOST_TEST(attempts(fixture) == 0U);
+    BOOST_TEST(last_refusal(fixture).not_run);
+    // Their withdrawal ends it.
+    fixture.handle(relay::crashes_listed{{}, {"i-2-0"}});
+    fixture.submit_parts(2, {"deadly"});
+    BOOST_TEST(attempts(fixture) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(crashes_are_reported_to_other_instances)
+{
+    relay_fixture fixture;
+    fixture.submit_parts(1, {"deadly"});
+    fixture.crash_attempt();
+    BOOST_TEST(relay_fixture::count<relay::report_crash>(fixture.to_store) == 0U);
+    fixture.crash_attempt();
+    BOOST_TEST(relay_fixture::count<relay::report_crash>(fixture.to_store) == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(a_request_that_waits_for_a_target_is_refused_when_it_is_quarantined)
+{
+    relay_fixture fixture;
+    fixture.list_targets(0);
+    fixture.submit_parts(1, {"deadly"});
+    std::vector<relay::crash_record> learnt;
+    for (int i = 0; i < 3; ++i) {
+        learnt.push_back(relay::crash_record{"r-" + std::to_string(i),
+                                             core::service_name{"engines"},
+                                             {"deadly", "request:" + std::to_string(i)}});
+    }
+    fixture.handle(relay::crashes_listed{learnt, {}});
+    fixture.list_targets(3);
+    fixture.advance(100ms);
+    BOOST_TEST(attempts(fixture) == 0U);
+    BOOST_TEST(last_refusal(fixture).not_run);
+}
+
+BOOST_AUTO_TEST_CASE(the_loss_of_a_stream_that_had_run_for_a_while_is_no_crash)
+{
+    relay_fixture fixture;
+    fixture.submit_parts(1, {"part"});
+    for (int i = 0; i < 2; ++i) {
+        fixture.stream_to(10 * i + 1);
+        fixture.advance(350ms);
+        fixture.stream_to(10 * i + 2);
+        fixture.lose_attempt();
+    }
+    BOOST_TEST(relay_fixture::count<relay::report_crash>(fixture.to_store) == 0U);
+}
--- a/tests/relay/test_fixture.hpp
+++ b/tests/relay/test_fixture.hpp
@@ -56,7 +56,7 @@
 
     /// Accepts a configuration with one service, one route and one account.
     void apply_configuration(std::uint64_t revision, relay::request_kind kind,
-                             const std::string& key = "key-1")
+                             const std::string& key = "key-1", std::uint32_t max_runs = 3)
     {
         const core::service_name service{"engines"};
         const bool streams = kind == relay::request_kind::streaming;
@@ -69,7 +69,7 @@
                                  .pause_goal = 700ms,
                                  .rank = 1,
                                  .services = {relay::weighted_service{service, 1}},
-                                 .max_runs = kind == relay::request_kind::unsafe ? 1U : 3U,
+                                 .max_runs = kind == relay::request_kind::unsafe ? 1U : max_runs,
                                  .is_public = false,
                                  .resumable = streams};
         const auto engine =
@@ -117,6 +117,24 @@
             25s, key, 5000, 700, "part-" + std::to_string(caller), std::nullopt});
     }
 
+    /// Submits a request whose prompt has parts that other requests may share.
+    void submit_parts(std::uint64_t caller, std::vector<std::string> shared_parts)
+    {
+        const std::string number = std::to_string(caller);
+        handle(relay::submission{
+            relay::caller_id{caller},
+            std::make_shared<const relay::opaque_request>(relay::opaque_request{
+                "id-" + number, "POST", "/p/x", "host", {}, "body-" + number}),
+            25s, "key-1", 5000, 700, "part-" + number, std::nullopt, std::move(shared_parts)});
+    }
+
+    /// Lets the target of the last attempt begin to answer and be lost at once.
+    void crash_attempt()
+    {
+        handle(relay::stream_begun{last_attempt().attempt, relay::answer_head{200, {}}});
+        lose_attempt();
+    }
+
     /// @return the attempt that was opened last
     [[nodiscard]] const relay::open_attempt& last_attempt() const
     {
