Bytes that are no answer and never end are cut off

Callers and instances: a target, a client or the store that writes a chunk header, a trailer or interim responses without end, or a body to a request whose answer is collected, made the instance hold all of it until the time of the request was up: 4 MB and more in the test, limited by the memory of the process alone.

Cause: Beast's parser limits a head, but not what it waits for inside a chunked body, and hands interim responses on without a count; buffered_client had no limit at all, and neither had an event of a stream.

Change: a message is an error once 64 KB of it can't be parsed, after 16 interim responses, once a collected body has 16 MB or an event of a stream 1 MB. Requests of clients are read by the same code.

--- a/src/http/buffered_client.cpp
+++ b/src/http/buffered_client.cpp
@@ -1,7 +1,16 @@
 #include "http/buffered_client.hpp"
 
+#include "core/error.hpp"
+
 namespace cyclamen::http {
 
+namespace {
+
+/// Maximum size of a response body, which bounds the memory of an exchange.
+constexpr std::size_t max_response_bytes = 16 * 1024 * 1024;
+
+} // namespace
+
 buffered_client::buffered_client(task::event_loop& loop, const client_settings& connections)
     : loop_{loop}, client_{loop, static_cast<client_listener&>(*this), connections}
 {
@@ -44,7 +53,14 @@
 
 void buffered_client::on_body(exchange_id exchange, std::string_view bytes)
 {
-    pending_.at(exchange)->body += bytes;
+    std::string& body = pending_.at(exchange)->body;
+    body += bytes;
+    if (body.size() > max_response_bytes) {
+        client_.cancel(exchange);
+        on_end(exchange, true,
+               core::make_error(core::error_kind::unavailable, "the response is too long",
+                                "try another target"));
+    }
 }
 
 void buffered_client::on_end(exchange_id exchange, bool /*sent*/, const absl::Status& status)
--- a/src/http/buffered_client.hpp
+++ b/src/http/buffered_client.hpp
@@ -26,7 +26,7 @@
 class buffered_client final : private client_listener {
   public:
     /// Called once per request: with the response, with deadline_exceeded if the time limit has
-    /// passed, or with unavailable if the exchange failed.
+    /// passed, or with unavailable if the exchange failed or the response is too long.
     using callback = std::function<void(const absl::StatusOr<buffered_response>&)>;
 
     /// @param loop event loop of the owning task
--- a/src/http/event_splitter.cpp
+++ b/src/http/event_splitter.cpp
@@ -21,6 +21,9 @@
 
 std::string event_splitter::feed(std::string_view bytes)
 {
+    if (is_too_long()) {
+        return {};
+    }
     pending_.append(bytes);
     const std::size_t end = end_of_events(pending_);
     std::string complete = pending_.substr(0, end);
--- a/src/http/event_splitter.hpp
+++ b/src/http/event_splitter.hpp
@@ -14,10 +14,16 @@
     /// @return the events that are now complete, byte for byte; empty if there are none
     [[nodiscard]] std::string feed(std::string_view bytes);
 
+    /// @return true if an incomplete event is longer than any event may be; nothing more is
+    /// buffered
+    [[nodiscard]] bool is_too_long() const { return pending_.size() > max_event_bytes; }
+
     /// @return true if an incomplete event is buffered
     [[nodiscard]] bool has_partial() const { return !pending_.empty(); }
 
   private:
+    static constexpr std::size_t max_event_bytes = 1024 * 1024;
+
     std::string pending_;
 };
 
--- a/src/http/message_reader.cpp
+++ b/src/http/message_reader.cpp
@@ -27,6 +27,13 @@
 /// Maximum size of the start line and headers of a response, in bytes.
 constexpr std::uint32_t max_response_head_bytes = 64 * 1024;
 
+/// Maximum size of a chunk header, or of the trailers, of a message. Beast's parser waits for their
+/// end without a limit.
+constexpr std::size_t max_unparsed_bytes = 64 * 1024;
+
+/// Maximum number of interim (1xx) responses before the final one.
+constexpr int max_interim_responses = 16;
+
 std::string to_lower(beast::string_view text)
 {
     std::string lowered{text.data(), text.size()};
@@ -57,6 +64,9 @@
         if (error == beast::http::error::need_more) {
             error = {};
         }
+        if (!error && !this->is_done() && bytes.size() - used > max_unparsed_bytes) {
+            error = beast::http::error::header_limit;
+        }
         return used;
     }
 
@@ -200,11 +210,15 @@
 std::size_t response_reader::feed(std::string_view bytes)
 {
     std::size_t used = parser_->feed(bytes);
-    const bool interim = parser_->has_head && parser_->status < first_final_status;
-    if (interim && !parser_->error) {
-        // An interim (1xx) response carries no result and is skipped; the final one follows.
+    // An interim (1xx) response carries no result and is skipped; the final one follows.
+    while (parser_->has_head && parser_->status < first_final_status && !parser_->error) {
+        ++interim_responses_;
+        if (interim_responses_ > max_interim_responses) {
+            parser_->error = beast::http::error::bad_status;
+            break;
+        }
         restart(parser_->skip());
-        used += feed(bytes.substr(used));
+        used += parser_->feed(bytes.substr(used));
     }
     return used;
 }
--- a/src/http/message_reader.hpp
+++ b/src/http/message_reader.hpp
@@ -95,6 +95,7 @@
   private:
     class parser;
     std::unique_ptr<parser> parser_;
+    int interim_responses_ = 0;
 
     void restart(bool without_body);
 };
--- a/tests/http/event_splitter_test.cpp
+++ b/tests/http/event_splitter_test.cpp
@@ -40,3 +40,17 @@
     }
     RC_ASSERT(received == stream);
 }
+
+BOOST_AUTO_TEST_CASE(an_event_without_end_is_an_error)
+{
+    http::event_splitter splitter;
+    const std::string noise(64 * 1024, 'x');
+    for (int i = 0; i < 15; ++i) {
+        (void)splitter.feed(noise);
+    }
+    BOOST_TEST(!splitter.is_too_long());
+    for (int i = 0; i < 100; ++i) {
+        (void)splitter.feed(noise);
+    }
+    BOOST_TEST(splitter.is_too_long());
+}
--- a/tests/http/message_reader_test.cpp
+++ b/tests/http/message_reader_test.cpp
@@ -118,3 +118,46 @@
     RC_ASSERT(read.method == "POST" && read.path == "/a/b?c" && read.body == "abcdefg");
     RC_ASSERT(read.find_header("x-y") == "z");
 }
+
+namespace {
+
+/// Feeds a response without end.
+/// @return bytes that the reader and its caller hold when the reader fails, or when the input is
+///         longer than any response may be
+std::size_t bytes_held(std::string_view begin, std::string_view repeated)
+{
+    constexpr std::size_t input_size = 4 * 1024 * 1024;
+    http::response_reader reader{false};
+    std::string input{begin};
+    std::size_t fed = 0;
+    while (fed < input_size && reader.error().ok()) {
+        input += repeated;
+        fed += repeated.size();
+        input.erase(0, reader.feed(input));
+        (void)reader.take_body();
+    }
+    return reader.error().ok() ? fed : input.size();
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(a_head_without_end_is_an_error)
+{
+    constexpr std::size_t most = 128 * 1024;
+    const std::string noise(1000, 'x');
+    BOOST_TEST(bytes_held("", noise) <= most);
+    BOOST_TEST(bytes_held("HTTP/1.1 200 OK\r\n", "a: " + noise + "\r\n") <= most);
+    BOOST_TEST(bytes_held("HTTP/1.1 200 OK\r\na: ", noise) <= most);
+    BOOST_TEST(bytes_held("", "HTTP/1.1 100 Continue\r\n\r\n") <= most);
+    BOOST_TEST(bytes_held("", "HTTP/1.1 103 Early Hints\r\na: " + noise + "\r\n\r\n") <= most);
+}
+
+BOOST_AUTO_TEST_CASE(a_chunk_header_or_trailer_without_end_is_an_error)
+{
+    constexpr std::size_t most = 128 * 1024;
+    const std::string chunked = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+    const std::string noise(1000, 'x');
+    BOOST_TEST(bytes_held(chunked + "3;", noise) <= most);
+    BOOST_TEST(bytes_held(chunked, std::string(1000, '0')) <= most);
+    BOOST_TEST(bytes_held(chunked + "0\r\n", "a: " + noise + "\r\n") <= most);
+}
