A target's status promises that a request has not run only if the target says so

Callers could be told 'not run, try again' (408, 429, 503) for a request that a target had run: such a status was passed on though it bore neither the mark of a request that was not run nor the target's signature.

Cause: classify() took every failure as the target's answer. A refusal written twice can't reach another request here, since each exchange has a connection of its own, and the id of a stale one is checked; a status without id, mark and signature was open.

Change: without a signature these statuses are an invalid answer: the request counts as lost and may have run.

--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -132,7 +132,15 @@
                            {"content-type", "text/event-stream"}}) == answer_kind::stream));
     BOOST_TEST((kind(503, {{"x-cyclamencourse-not-executed", "1"}}) == answer_kind::rejected));
     BOOST_TEST((kind(421, {}) == answer_kind::misdirected));
-    BOOST_TEST((kind(503, {}) == answer_kind::buffered));
+    BOOST_TEST((kind(503, {{"x-cyclamencourse-response-seal", "s"}}) == answer_kind::buffered));
+    BOOST_TEST((kind(500, {}) == answer_kind::buffered));
+    // These statuses promise that the request has not run, which only the target can say.
+    for (const int status : {408, 429, 503}) {
+        BOOST_TEST((kind(status, {}) == answer_kind::invalid));
+    }
+    // An earlier refusal that is written once more.
+    BOOST_TEST((kind(503, {{"x-cyclamencourse-request-id", "other"},
+                           {"x-cyclamencourse-not-executed", "1"}}) == answer_kind::invalid));
 }
 
 BOOST_AUTO_TEST_CASE(only_requests_that_were_not_run_get_a_status_that_promises_it)
