Rollout orders on the platform are carried out

Callers saw: after the order to roll out a version that answers several times slower, half of all streams went to it, for as long as its engines stood.

Cause: the operator's orders were read and not carried out, so that the new engines took part like any others.

Change: chart version_rollout on each instance. A few requests go to the new version, at most half of the ratio and three tenths of the slack that the settings allow, over all instances; no others do, nor their standby copies. An answer is bad if it fails or begins later than 2.5 times the median of the old version's. Instances add up their counts, which are rows of the table status, and a likelihood ratio against the old version decides: bad, the store is told and no more requests go there; good, all new requests go there 3.5 s before the deadline, and the store is told 1.5 s before it. Any instance may write the outcome, under a condition, those at the front of the list first. Without enough evidence it is rolled back.

--- a/src/relay/messages.hpp
+++ b/src/relay/messages.hpp
@@ -15,6 +15,7 @@
 #include "relay/crash_evidence.hpp"
 #include "relay/member_registry.hpp"
 #include "relay/reported_load.hpp"
+#include "relay/rollout_records.hpp"
 #include "relay/route_table.hpp"
 #include "relay/run_copy.hpp"
 #include "relay/target.hpp"
@@ -389,6 +390,41 @@
     bool operator==(const members_listed&) const = default;
 };
 
+/// The operator's orders of rollouts have changed.
+struct rollouts_listed {
+    const std::vector<rollout_order> present;
+    /// Services whose order was removed.
+    const std::vector<core::service_name> gone;
+
+    bool operator==(const rollouts_listed&) const = default;
+};
+
+/// Instances have written what they have seen of rollouts, and how these ended.
+struct rollout_reports_listed {
+    const std::vector<rollout_outcome> outcomes;
+    const std::vector<rollout_evidence> evidence;
+
+    bool operator==(const rollout_reports_listed&) const = default;
+};
+
+/// Writes how a rollout ended, unless that was written since.
+struct write_rollout_outcome {
+    const core::service_name service;
+    const core::version_name version;
+    const bool completed;
+    /// Version of the row that is replaced, 0 if there is none.
+    const std::uint64_t replaced;
+
+    auto operator<=>(const write_rollout_outcome&) const = default;
+};
+
+/// Writes what this instance has seen of a rollout.
+struct write_rollout_evidence {
+    const rollout_evidence evidence;
+
+    auto operator<=>(const write_rollout_evidence&) const = default;
+};
+
 /// The list of crashes that instances have reported has changed.
 struct crashes_listed {
     const std::vector<crash_record> present;
@@ -438,7 +474,7 @@
                  stream_finished, attempt_answered, attempt_rejected, attempt_lost, run_copied,
                  target_answered, target_identified, instance_answered, configuration_read,
                  configuration_confirmed, targets_listed, members_listed, crashes_listed,
-                 stop_requested>;
+                 rollouts_listed, rollout_reports_listed, stop_requested>;
 
 /// Messages to the entry task.
 using entry_command =
@@ -450,6 +486,7 @@
                                     identify_target, ask_instance>;
 
 /// Messages to the store task.
-using store_command = std::variant<announce_member, withdraw_member, report_crash, withdraw_crash>;
+using store_command = std::variant<announce_member, withdraw_member, report_crash, withdraw_crash,
+                                   write_rollout_outcome, write_rollout_evidence>;
 
 } // namespace cyclamen::relay
--- a/src/relay/placement.hpp
+++ b/src/relay/placement.hpp
@@ -7,6 +7,7 @@
 
 #include "core/identifier.hpp"
 #include "relay/reported_load.hpp"
+#include "relay/rollout_records.hpp"
 #include "relay/target.hpp"
 
 namespace cyclamen::relay {
@@ -29,6 +30,8 @@
     const bool wants_standby;
     /// Loads that candidates have reported; if not empty, those candidates are preferred.
     const std::map<core::target_name, reported_load> loads;
+    /// Versions that may be chosen, empty if any will do.
+    const std::optional<version_rule> rule = {};
 
     bool operator==(const placement_query&) const = default;
 };
--- a/src/relay/relay_charts.cpp
+++ b/src/relay/relay_charts.cpp
@@ -3,6 +3,7 @@
 #include "relay/entry_lifecycle.hpp"
 #include "relay/request_chart.hpp"
 #include "relay/run_protection.hpp"
+#include "relay/version_rollout.hpp"
 #include "routing/target_health_chart.hpp"
 
 namespace cyclamen::relay {
@@ -25,7 +26,11 @@
     if (!health.ok()) {
         return health.status();
     }
-    return relay_charts{*request, *protection, *lifecycle, *health};
+    const auto rollout = files.load("version_rollout", rollout_vocabulary());
+    if (!rollout.ok()) {
+        return rollout.status();
+    }
+    return relay_charts{*request, *protection, *lifecycle, *health, *rollout};
 }
 
 } // namespace cyclamen::relay
--- a/src/relay/relay_charts.hpp
+++ b/src/relay/relay_charts.hpp
@@ -14,6 +14,7 @@
     const std::shared_ptr<const chart::chart> protection;
     const std::shared_ptr<const chart::chart> lifecycle;
     const std::shared_ptr<const chart::chart> target_health;
+    const std::shared_ptr<const chart::chart> rollout;
 
     bool operator==(const relay_charts&) const = default;
 
--- a/src/relay/relay_manager.cpp
+++ b/src/relay/relay_manager.cpp
@@ -54,6 +54,7 @@
         update_or_remove(number);
     }
     lifecycle_.on_timer(now);
+    review_rollouts();
     if (next_watch_at_.has_value() && *next_watch_at_ <= now) {
         watch();
     }
@@ -65,6 +66,11 @@
     if (next_watch_at_.has_value()) {
         next = std::min(next.value_or(*next_watch_at_), *next_watch_at_);
     }
+    for (const auto& [service, rollout] : rollouts_) {
+        if (const auto due = rollout->next_deadline(); due.has_value()) {
+            next = std::min(next.value_or(*due), *due);
+        }
+    }
     if (!deadline_order_.empty()) {
         next =
             std::min(next.value_or(deadline_order_.begin()->first), deadline_order_.begin()->first);
--- a/src/relay/relay_manager.hpp
+++ b/src/relay/relay_manager.hpp
@@ -6,6 +6,7 @@
 #include <set>
 
 #include "core/cell.hpp"
+#include "relay/answer_baseline.hpp"
 #include "relay/entry_lifecycle.hpp"
 #include "relay/messages.hpp"
 #include "relay/relay_charts.hpp"
@@ -14,6 +15,7 @@
 #include "relay/relayed_request.hpp"
 #include "relay/retry_budget.hpp"
 #include "relay/target_directory.hpp"
+#include "relay/version_rollout.hpp"
 
 namespace cyclamen::relay {
 
@@ -33,7 +35,9 @@
 
 /// Owns the requests of an instance and its state of configuration, targets and instances.
 /// Opens no socket and reads no clock.
-class relay_manager final : private request_host, private entry_lifecycle_host {
+class relay_manager final : private request_host,
+                            private entry_lifecycle_host,
+                            private rollout_host {
   public:
     /// @param settings settings of the instance
     /// @param charts the charts
@@ -69,6 +73,10 @@
     std::optional<core::cell<configuration_confirmed>> confirmation_;
     member_registry members_;
     crash_evidence crashes_;
+    /// Rollouts that the operator has ordered, by service, and what the store has of them.
+    std::map<core::service_name, std::unique_ptr<version_rollout>> rollouts_;
+    std::map<core::service_name, rollout_outcome> rollout_outcomes_;
+    std::map<core::service_name, answer_baseline> baselines_;
     std::optional<core::instant> next_watch_at_;
     std::map<request_number, std::unique_ptr<relayed_request>> requests_;
     std::map<caller_id, request_number> callers_;
@@ -82,6 +90,11 @@
     void on(const configuration_read& update);
     void on(const configuration_confirmed& confirmation);
     void on(const crashes_listed& update);
+    void on(const rollouts_listed& update);
+    void on(const rollout_reports_listed& update);
+    void review_rollouts();
+    /// @return time after which an answer of the service counts as slow
+    [[nodiscard]] core::duration slow_limit(const request_plan& plan) const;
     void on(const targets_listed& update);
     void on(const members_listed& update);
     void on(const instance_answered& answer);
@@ -129,6 +142,9 @@
     void on_answered(const request_plan& plan, core::duration waited) override;
     void on_ended(const request_plan& plan, std::string_view outcome) override;
     void on_attempt_ended(const request_plan& plan, std::string_view event) override;
+    std::optional<version_rule> version_rule_for(const request_plan& plan, bool is_first) override;
+    void on_attempt_outcome(const request_plan& plan, const target_record& target,
+                            core::duration waited, bool failed) override;
     [[nodiscard]] std::optional<core::duration>
     quarantine_of(const request_plan& plan) const override;
     void on_crash(const request_plan& plan, core::attempt_number attempt) override;
@@ -137,6 +153,11 @@
     void on_success(const core::target_name& target) override;
     void on_misdirected(const target_record& listed) override;
 
+    [[nodiscard]] std::pair<std::size_t, std::size_t> position() const override;
+    [[nodiscard]] bool has_target(const rollout_order& order) const override;
+    void write_outcome(const rollout_order& order, bool completed) override;
+    void write_evidence(const rollout_evidence& evidence) override;
+
     void announce(bool serving) override;
     void refuse_connections() override;
     [[nodiscard]] bool has_work() const override;
--- a/src/relay/relay_settings.hpp
+++ b/src/relay/relay_settings.hpp
@@ -10,6 +10,7 @@
 #include "relay/entry_lifecycle.hpp"
 #include "relay/member_registry.hpp"
 #include "relay/run_protection.hpp"
+#include "relay/version_rollout.hpp"
 #include "routing/health_settings.hpp"
 
 namespace cyclamen::relay {
@@ -106,6 +107,7 @@
     const entry_lifecycle_settings lifecycle;
     const watch_settings watch;
     const crash_evidence_settings crashes;
+    const rollout_settings rollouts;
 
     auto operator<=>(const relay_settings&) const = default;
 };
--- a/src/relay/relayed_request.cpp
+++ b/src/relay/relayed_request.cpp
@@ -200,6 +200,25 @@
     return deadline;
 }
 
+void relayed_request::check_slow(const core::version_name& version, core::duration limit,
+                                 core::instant now)
+{
+    now_ = now;
+    if (placed_.has_value() && placed_->get().target.version == version && !attempt_has_events_ &&
+        now - attempt_opened_at_ > limit) {
+        report_outcome(true);
+    }
+}
+
+void relayed_request::report_outcome(bool failed)
+{
+    // An attempt that resumes from a copy is faster than any other.
+    if (!outcome_reported_ && !placed_->get().from_copy) {
+        outcome_reported_ = true;
+        host_.on_attempt_outcome(plan_, placed_->get().target, now_ - attempt_opened_at_, failed);
+    }
+}
+
 void relayed_request::on_timer(core::instant now)
 {
     if (protection_ != nullptr) {
@@ -375,14 +394,17 @@
     case request_action::note_silence:
         loss_detail_ = "silent";
         may_have_run_ = true;
+        report_outcome(true);
         record_attempt_end("attempt_silent");
         host_.on_loss(placed_->get().target.name);
         break;
     case request_action::note_loss:
+        report_outcome(true);
         record_attempt_end("attempt_lost");
         host_.on_loss(placed_->get().target.name);
         break;
     case request_action::note_failure:
+        report_outcome(true);
         loss_detail_ = core::concat("status ", received_answer_->get().head.status);
         record_attempt_end("attempt_failed");
         break;
@@ -432,6 +454,7 @@
 {
     if (!attempt_has_events_) {
         attempt_has_events_ = true;
+        report_outcome(false);
         host_.on_first_event(placed_->get().target.name, plan_.submitted.prompt_tokens);
         host_.on_success(placed_->get().target.name);
     }
@@ -449,6 +472,7 @@
 void relayed_request::deliver_answer()
 {
     const attempt_answered& answer = received_answer_->get();
+    report_outcome(answer.head.status >= first_failure_status);
     host_.on_answered(plan_, now_ - plan_.accepted);
     host_.on_success(placed_->get().target.name);
     host_.send(complete_answer{plan_.submitted.caller, answer.head, answer.body});
--- a/src/relay/relayed_request.hpp
+++ b/src/relay/relayed_request.hpp
@@ -76,6 +76,15 @@
     /// An attempt was rejected or failed.
     virtual void on_attempt_ended(const request_plan& plan, std::string_view event) = 0;
 
+    /// @return which versions the next attempt may be sent to, empty if any will do
+    /// @param is_first true if the request asks for the first time
+    virtual std::optional<version_rule> version_rule_for(const request_plan& plan,
+                                                         bool is_first) = 0;
+    /// The target of an attempt has begun to answer, has failed or is too slow.
+    /// @param waited time since the attempt was opened
+    virtual void on_attempt_outcome(const request_plan& plan, const target_record& target,
+                                    core::duration waited, bool failed) = 0;
+
     /// @return how long the request remains quarantined, empty if it may run
     [[nodiscard]] virtual std::optional<core::duration>
     quarantine_of(const request_plan& plan) const = 0;
@@ -118,6 +127,10 @@
     /// A target is gone or leaving; a standby copy there is lost.
     void on_target_ending(const core::target_name& target, core::instant now);
 
+    /// Counts the current attempt as failed if a target of that version has not begun to answer it
+    /// within the limit.
+    void check_slow(const core::version_name& version, core::duration limit, core::instant now);
+
     /// Raises the events of expired timers.
     void on_timer(core::instant now);
 
@@ -166,6 +179,11 @@
     /// When the target of the current attempt began to answer.
     std::optional<core::instant> begun_at_;
     bool survived_ = false;
+    core::instant attempt_opened_at_;
+    /// The outcome of the current attempt was reported.
+    bool outcome_reported_ = false;
+    std::optional<core::cell<version_rule>> rule_;
+    bool rule_known_ = false;
     bool answer_begun_ = false;
     std::optional<std::string> last_event_;
     std::optional<core::cell<answer_head>> head_;
@@ -179,6 +197,7 @@
     [[nodiscard]] core::duration timeout_duration(request_timeout timeout) const;
     void release_attempt();
     void note_progress();
+    void report_outcome(bool failed);
     /// @return true if the current attempt was lost right after its target had begun to answer
     [[nodiscard]] bool may_have_crashed_target() const;
     [[nodiscard]] bool is_quarantined() const;
--- a/src/relay/relayed_request_placement.cpp
+++ b/src/relay/relayed_request_placement.cpp
@@ -6,6 +6,15 @@
 
 namespace cyclamen::relay {
 
+namespace {
+
+std::optional<version_rule> version_rule_of(const std::optional<core::cell<version_rule>>& rule)
+{
+    return rule.has_value() ? std::optional{rule->get()} : std::nullopt;
+}
+
+} // namespace
+
 placement_query relayed_request::make_query() const
 {
     const bool wants_standby = plan_.engine.has_value() && plan_.engine->mirrors_memory &&
@@ -17,7 +26,8 @@
                            lost_domain_,
                            copy_holder_,
                            wants_standby,
-                           loads_};
+                           loads_,
+                           version_rule_of(rule_)};
 }
 
 void relayed_request::seek_target()
@@ -28,6 +38,11 @@
         follow_up_ = request_event::quarantine_found;
         return;
     }
+    rule_.reset();
+    if (const auto rule = host_.version_rule_for(plan_, !rule_known_); rule.has_value()) {
+        rule_.emplace(*rule);
+    }
+    rule_known_ = true;
     // No survey if the target is given by its copy, nor for plain services, which report no load.
     if (plan_.engine.has_value() && !copy_holder_.has_value()) {
         for (const target_record& each : host_.survey(make_query())) {
@@ -69,6 +84,8 @@
     attempt_ = attempt_.next();
     attempt_has_events_ = false;
     begun_at_.reset();
+    attempt_opened_at_ = now_;
+    outcome_reported_ = false;
     attempt_sent_ = true;
     const placement& placed = placed_->get();
     if (offers_ > 0) {
@@ -131,7 +148,8 @@
                                                    : lost_domain_,
                         {},
                         true,
-                        {}},
+                        {},
+                        query.rule},
         former.target);
     if (!found.has_value()) {
         return false;
--- /dev/null
+++ b/src/relay/rollout_records.hpp
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <string>
+
+#include "core/identifier.hpp"
+#include "core/time.hpp"
+
+namespace cyclamen::relay {
+
+/// The operator's order to move a service to a new version.
+struct rollout_order {
+    const core::service_name service;
+    const core::version_name version;
+    /// Time in which the order is to be completed or rolled back.
+    const core::duration time_limit;
+    /// Position of the order among all changes of the store.
+    const std::uint64_t store_version;
+
+    auto operator<=>(const rollout_order&) const = default;
+};
+
+/// How a rollout ended, as written by an instance.
+struct rollout_outcome {
+    const core::service_name service;
+    const core::version_name version;
+    /// True if the new version was accepted.
+    const bool completed;
+    /// Position among all changes of the store; an outcome before its order belongs to an earlier
+    /// one.
+    const std::uint64_t store_version;
+
+    auto operator<=>(const rollout_outcome&) const = default;
+};
+
+/// Numbers of requests that an instance has seen end well or badly during a rollout.
+struct version_counts {
+    const std::uint32_t old_good = 0;
+    const std::uint32_t old_bad = 0;
+    const std::uint32_t new_good = 0;
+    const std::uint32_t new_bad = 0;
+
+    auto operator<=>(const version_counts&) const = default;
+};
+
+/// What an instance has seen of a rollout.
+struct rollout_evidence {
+    const core::service_name service;
+    const core::version_name version;
+    const core::instance_name instance;
+    /// Position of the order to which it belongs.
+    const std::uint64_t order;
+    const version_counts counts;
+
+    auto operator<=>(const rollout_evidence&) const = default;
+};
+
+/// Which targets of a service a request may be sent to.
+struct version_rule {
+    const core::version_name version;
+    /// True if only targets of that version are chosen, false if all others are.
+    const bool required;
+
+    [[nodiscard]] bool admits(const core::version_name& candidate) const
+    {
+        return (candidate == version) == required;
+    }
+
+    auto operator<=>(const version_rule&) const = default;
+};
+
+} // namespace cyclamen::relay
--- a/src/relay/target_directory.cpp
+++ b/src/relay/target_directory.cpp
@@ -143,8 +143,9 @@
     return std::min(gap, 1.0 - gap);
 }
 
-std::optional<placement> target_directory::choose(const placement_query& query, core::instant now)
+std::optional<placement> target_directory::choose(const placement_query& wanted, core::instant now)
 {
+    const placement_query query = available_query(wanted);
     const known_target* chosen = nullptr;
     bool from_copy = false;
     if (query.copy_holder.has_value()) {
@@ -152,6 +153,8 @@
         // Even if the holder's health is doubtful, resuming from the copy is worth a try:
         // processing the prompt again takes longer.
         const bool usable = holder != nullptr &&
+                            (!query.rule.has_value() || query.rule->required ||
+                             query.rule->admits(holder->record.get().version)) &&
                             holder->health->current_readiness(now) <= routing::readiness::suspect;
         if (usable) {
             chosen = holder;
@@ -176,14 +179,16 @@
     // A copy is useless at a target that was tried, or in the failure domain lost last.
     std::set<core::target_name> unfit = query.tried;
     unfit.insert(target.name);
-    const placement_query second{query.service,
-                                 query.prompt_tokens,
-                                 query.prompt_key,
-                                 std::move(unfit),
-                                 query.lost_domain,
-                                 {},
-                                 false,
-                                 query.loads};
+    const placement_query second{
+        query.service,
+        query.prompt_tokens,
+        query.prompt_key,
+        std::move(unfit),
+        query.lost_domain,
+        {},
+        false,
+        query.loads,
+        query.rule.has_value() ? std::optional{version_rule{target.version, true}} : std::nullopt};
     const known_target* found = pick_target(second, &target.domain, now);
     if (found == nullptr || found->record.get().name == target.name) {
         return std::nullopt;
@@ -205,6 +210,16 @@
                         : best[chooser_->choose(make_candidates(best, query), settings_.domain)];
 }
 
+placement_query target_directory::available_query(const placement_query& query) const
+{
+    const bool available = !query.rule.has_value() || !query.rule->required ||
+                           has_target(query.service, query.rule->version);
+    return available ? query
+                     : placement_query{query.service,       query.prompt_tokens, query.prompt_key,
+                                       query.tried,         query.lost_domain,   query.copy_holder,
+                                       query.wants_standby, query.loads};
+}
+
 std::vector<const target_directory::known_target*>
 target_directory::best_group(const placement_query& query,
                              const core::failure_domain_name* excluded_domain, core::instant now)
@@ -216,7 +231,9 @@
         const target_record& record = known.record.get();
         const auto ready = known.health->current_readiness(now);
         const bool excluded = excluded_domain != nullptr && record.domain == *excluded_domain;
-        if (record.service == query.service && ready != routing::readiness::leaving && !excluded) {
+        const bool admitted = !query.rule.has_value() || query.rule->admits(record.version);
+        if (record.service == query.service && ready != routing::readiness::leaving && !excluded &&
+            admitted) {
             const bool unasked = !query.loads.empty() && !query.loads.contains(name);
             const bool suspect_domain =
                 query.lost_domain == record.domain || is_domain_suspect(record, now);
@@ -226,8 +243,10 @@
     return groups.empty() ? std::vector<const known_target*>{} : groups.begin()->second;
 }
 
-std::vector<target_record> target_directory::survey(const placement_query& query, core::instant now)
+std::vector<target_record> target_directory::survey(const placement_query& wanted,
+                                                    core::instant now)
 {
+    const placement_query query = available_query(wanted);
     std::vector<target_record> chosen;
     std::set<core::target_name> tried = query.tried;
     std::set<core::failure_domain_name> domains;
@@ -239,7 +258,8 @@
                                    query.lost_domain,
                                    {},
                                    false,
-                                   {}};
+                                   {},
+                                   query.rule};
         // The last candidate is in another failure domain, so that one can be the standby.
         const bool needs_other =
             domains.size() == 1 && chosen.size() + 1 == settings_.placement.survey_size;
@@ -338,6 +358,15 @@
     }
 }
 
+bool target_directory::has_target(const core::service_name& service,
+                                  const core::version_name& version) const
+{
+    return std::any_of(targets_.begin(), targets_.end(), [&](const auto& entry) {
+        const target_record& record = entry.second.record.get();
+        return record.service == service && record.version == version && !record.leaving;
+    });
+}
+
 bool target_directory::is_domain_suspect(const target_record& record, core::instant now) const
 {
     const auto found = losses_.find({record.service, record.domain});
--- a/src/relay/target_directory.hpp
+++ b/src/relay/target_directory.hpp
@@ -35,11 +35,11 @@
     void on_members(const std::vector<member>& members);
 
     /// @return the targets for the request, empty if no suitable target is listed
-    [[nodiscard]] std::optional<placement> choose(const placement_query& query, core::instant now);
+    [[nodiscard]] std::optional<placement> choose(const placement_query& wanted, core::instant now);
 
     /// @return the candidates to ask for their load, in more than one failure domain if possible;
     ///         empty if no target is listed
-    [[nodiscard]] std::vector<target_record> survey(const placement_query& query,
+    [[nodiscard]] std::vector<target_record> survey(const placement_query& wanted,
                                                     core::instant now);
 
     /// @return a target in another failure domain that can receive a copy of a request's memory,
@@ -66,6 +66,10 @@
     /// Removes a target whose address now belongs to another one, even if it is still listed.
     void on_misdirected(const core::target_name& target);
 
+    /// @return true if a target of that version is listed and not leaving
+    [[nodiscard]] bool has_target(const core::service_name& service,
+                                  const core::version_name& version) const;
+
     [[nodiscard]] std::size_t size() const { return targets_.size(); }
 
   private:
@@ -102,6 +106,8 @@
     [[nodiscard]] std::vector<candidate>
     make_candidates(const std::vector<const known_target*>& targets,
                     const placement_query& query) const;
+    /// @return the query without its rule on versions if no target of the required one is listed
+    [[nodiscard]] placement_query available_query(const placement_query& query) const;
     [[nodiscard]] const known_target* pick_target(const placement_query& query,
                                                   const core::failure_domain_name* excluded_domain,
                                                   core::instant now);
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -5,6 +5,7 @@
 #include "platform/crash_codec.hpp"
 #include "platform/entry_codec.hpp"
 #include "platform/member_codec.hpp"
+#include "platform/rollout_codec.hpp"
 #include "platform/store_codec.hpp"
 #include "platform/target_codec.hpp"
 
@@ -263,3 +264,38 @@
     BOOST_TEST(shared_parts(many).size() == 16U);
     BOOST_TEST(shared_parts(many).front().size() == 64U);
 }
+
+BOOST_AUTO_TEST_CASE(rows_about_rollouts_are_decoded_and_malformed_ones_are_errors)
+{
+    const auto row = [](const std::string& key, const std::string& value) {
+        return replica::row{key, value, 12, false};
+    };
+    const auto order = platform::decode_rollout_order(
+        row("rollout/engines", R"({"backend":"engines","to":"v2","duration_s":12})"));
+    BOOST_REQUIRE(order.ok());
+    BOOST_TEST(
+        (*order == relay::rollout_order{core::service_name{"engines"}, core::version_name{"v2"},
+                                        std::chrono::seconds{12}, 12}));
+    const relay::write_rollout_outcome written{core::service_name{"engines"},
+                                               core::version_name{"v2"}, false, 0};
+    const auto outcome = platform::decode_rollout_outcome(row(
+        platform::encode_rollout_key(written.service), platform::encode_rollout_outcome(written)));
+    BOOST_REQUIRE((outcome.ok() && outcome->has_value()));
+    BOOST_TEST(!(*outcome)->completed);
+    const auto running = platform::decode_rollout_outcome(
+        row("rollout/engines", R"({"state":"running","to":"v2"})"));
+    BOOST_TEST((running.ok() && !running->has_value()));
+    const relay::rollout_evidence seen{core::service_name{"engines"}, core::version_name{"v2"},
+                                       core::instance_name{"i-0"}, 12,
+                                       relay::version_counts{4, 3, 2, 1}};
+    BOOST_TEST((platform::decode_rollout_evidence(row(platform::encode_evidence_key(seen),
+                                                      platform::encode_rollout_evidence(seen)))
+                    .value() == seen));
+    BOOST_TEST(!platform::decode_rollout_key("config").has_value());
+    for (const char* malformed :
+         {"", "[]", "{}", R"({"to":"v2","duration_s":-1})", R"({"to":3,"duration_s":1})"}) {
+        BOOST_TEST(!platform::decode_rollout_order(row("rollout/s", malformed)).ok());
+        BOOST_TEST(!platform::decode_rollout_outcome(row("rollout/s", malformed)).ok());
+        BOOST_TEST(!platform::decode_rollout_evidence(row("evidence/s/i", malformed)).ok());
+    }
+}
