Targets that say they leave or push back get no further requests

Cause: a target that leaves says so in each answer (Server-Leaving), and one that is too busy may say for how long it wants nothing (503 with Retry-After). Both were read by nobody: an instance went on until the store listed the target as leaving, or at once.

Change: platform/ decodes both into target_notice. A leaving mark belongs to the incarnation: it survives the target's loss and older rows of the store, and ends with a later birth. A hold is bounded (5 min); values that are no number are ignored and logged. Neither kind of target is chosen for a first attempt, a retry, a resume, a standby copy or a survey. If all targets that could be chosen want nothing, a request is refused at once, with Retry-After from the first return on, spread by the request's id. A survey whose candidates are all gone by its end no longer takes an empty placement.

Left: the soak doesn't inject them, and our own front's engines have no field for them.

--- a/src/relay/messages.hpp
+++ b/src/relay/messages.hpp
@@ -302,6 +302,19 @@
     auto operator<=>(const attempt_rejected&) const = default;
 };
 
+/// A target has said in an answer that it wants less work, or none.
+struct target_notice {
+    const core::target_name target;
+    /// Request to which the target answered.
+    const std::string request;
+    /// True if the target is leaving.
+    const bool leaving;
+    /// How long the target wants no request from this instance, zero if it didn't say.
+    const core::duration hold;
+
+    auto operator<=>(const target_notice&) const = default;
+};
+
 /// An attempt ended without a complete response.
 struct attempt_lost {
     const attempt_id attempt;
@@ -472,9 +485,9 @@
 using relay_message =
     std::variant<submission, caller_gone, metrics_query, stream_begun, stream_events,
                  stream_finished, attempt_answered, attempt_rejected, attempt_lost, run_copied,
-                 target_answered, target_identified, instance_answered, configuration_read,
-                 configuration_confirmed, targets_listed, members_listed, crashes_listed,
-                 rollouts_listed, rollout_reports_listed, stop_requested>;
+                 target_notice, target_answered, target_identified, instance_answered,
+                 configuration_read, configuration_confirmed, targets_listed, members_listed,
+                 crashes_listed, rollouts_listed, rollout_reports_listed, stop_requested>;
 
 /// Messages to the entry task.
 using entry_command =
--- a/src/relay/relay_manager.cpp
+++ b/src/relay/relay_manager.cpp
@@ -237,6 +237,11 @@
     lifecycle_.raise(entry_lifecycle_event::stop_ordered, now_);
 }
 
+void relay_manager::on(const target_notice& notice)
+{
+    targets_.on_notice(notice, now_);
+}
+
 void relay_manager::on(const target_answered& answer)
 {
     const auto found = requests_.find(answer.request);
@@ -361,6 +366,12 @@
     return targets_.survey(query, now_);
 }
 
+std::optional<core::duration> relay_manager::time_to_return(const core::service_name& service)
+{
+    const auto earliest = targets_.earliest_return(service, now_);
+    return earliest.has_value() ? std::optional{*earliest - now_} : std::nullopt;
+}
+
 bool relay_manager::may_retry(const core::service_name& service)
 {
     return budget_.allows(service, now_);
--- a/src/relay/relay_manager.hpp
+++ b/src/relay/relay_manager.hpp
@@ -100,6 +100,7 @@
     void on(const instance_answered& answer);
     void watch();
     void on(const stop_requested& request);
+    void on(const target_notice& notice);
     void on(const target_answered& answer);
     /// Notifies requests of targets that are gone or leaving, since standby copies there are lost.
     void report_ending_targets();
@@ -132,6 +133,8 @@
                                               const target_record& target) override;
     void on_standby_changed(const std::optional<target_record>& from,
                             const target_record& to) override;
+    [[nodiscard]] std::optional<core::duration>
+    time_to_return(const core::service_name& service) override;
     bool may_retry(const core::service_name& service) override;
     void count_retry(const core::service_name& service) override;
     void send(entry_command command) override;
--- a/src/relay/relayed_request.cpp
+++ b/src/relay/relayed_request.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "core/hash.hpp"
 #include "core/log.hpp"
 #include "core/text.hpp"
 
@@ -127,6 +128,24 @@
     return host_.quarantine_of(plan_).has_value();
 }
 
+request_event relayed_request::missing_target_event()
+{
+    return host_.time_to_return(plan_.service).has_value() ? request_event::targets_held
+                                                           : request_event::target_missing;
+}
+
+void relayed_request::refuse_held()
+{
+    // The requests that are refused now come back one after the other.
+    constexpr std::uint64_t steps = 1000;
+    const double place = static_cast<double>(core::hash_of(plan_.submitted.content->id) % steps) /
+                         static_cast<double>(steps);
+    const core::duration wait =
+        host_.time_to_return(plan_.service).value_or(core::duration::zero());
+    refuse(core::error_kind::overloaded, "all targets want no requests for a while", true,
+           wait + core::fraction_of(std::max(wait, settings_.retry_after), place));
+}
+
 void relayed_request::refuse_quarantined()
 {
     refuse(core::error_kind::quarantined, quarantine_problem, true,
@@ -314,7 +333,8 @@
     case request_guard::candidate_lives:
         break;
     }
-    return !loads_.empty();
+    // A candidate may have left, or have asked for no requests, since it was asked for its load.
+    return !loads_.empty() && host_.place(make_query()).has_value();
 }
 
 void relayed_request::perform(chart::symbol action)
@@ -380,6 +400,9 @@
     case request_action::refuse_unplaced:
         refuse(core::error_kind::overloaded, "no target is available", true, settings_.retry_after);
         break;
+    case request_action::refuse_held:
+        refuse_held();
+        break;
     case request_action::refuse_quarantined:
         refuse_quarantined();
         break;
--- a/src/relay/relayed_request.hpp
+++ b/src/relay/relayed_request.hpp
@@ -55,6 +55,10 @@
     /// @return the candidates to ask for their load before place()
     virtual std::vector<target_record> survey(const placement_query& query) = 0;
 
+    /// @return time until a target of the service wants requests again, empty unless all that could
+    ///         be chosen have asked for none
+    virtual std::optional<core::duration> time_to_return(const core::service_name& service) = 0;
+
     /// @return true if the retry budget of the service allows one more attempt
     virtual bool may_retry(const core::service_name& service) = 0;
 
@@ -202,6 +206,8 @@
     [[nodiscard]] bool may_have_crashed_target() const;
     [[nodiscard]] bool is_quarantined() const;
     void refuse_quarantined();
+    void refuse_held();
+    [[nodiscard]] request_event missing_target_event();
     void record_attempt_end(std::string_view event);
     void refuse(core::error_kind kind, std::string_view problem, bool not_run,
                 core::duration retry_after);
--- a/src/relay/relayed_request_placement.cpp
+++ b/src/relay/relayed_request_placement.cpp
@@ -48,13 +48,13 @@
         for (const target_record& each : host_.survey(make_query())) {
             pending_candidates_.emplace(each.name, each);
         }
-        follow_up_ = pending_candidates_.empty() ? request_event::target_missing
-                                                 : request_event::candidates_found;
+        follow_up_ =
+            pending_candidates_.empty() ? missing_target_event() : request_event::candidates_found;
         return;
     }
     const auto found = host_.place(make_query());
     if (!found.has_value()) {
-        follow_up_ = request_event::target_missing;
+        follow_up_ = missing_target_event();
         return;
     }
     placed_.emplace(*found);
--- a/src/relay/target_directory.cpp
+++ b/src/relay/target_directory.cpp
@@ -88,7 +88,9 @@
                                            local_work{}})
                      .first->second;
     }
-    if (record.leaving) {
+    const auto left = left_.find(record.name);
+    const bool has_left = left != left_.end() && left->second == record.started_at;
+    if (record.leaving || has_left) {
         known->health->on_leaving(now);
         if (!was_leaving) {
             ending_targets_.push_back(record.name);
@@ -152,7 +154,7 @@
         known_target* holder = find(*query.copy_holder);
         // Even if the holder's health is doubtful, resuming from the copy is worth a try:
         // processing the prompt again takes longer.
-        const bool usable = holder != nullptr &&
+        const bool usable = holder != nullptr && !is_held(*holder, now) &&
                             (!query.rule.has_value() || query.rule->required ||
                              query.rule->admits(holder->record.get().version)) &&
                             holder->health->current_readiness(now) <= routing::readiness::suspect;
@@ -233,7 +235,7 @@
         const bool excluded = excluded_domain != nullptr && record.domain == *excluded_domain;
         const bool admitted = !query.rule.has_value() || query.rule->admits(record.version);
         if (record.service == query.service && ready != routing::readiness::leaving && !excluded &&
-            admitted) {
+            admitted && !is_held(known, now)) {
             const bool unasked = !query.loads.empty() && !query.loads.contains(name);
             const bool suspect_domain =
                 query.lost_domain == record.domain || is_domain_suspect(record, now);
@@ -349,6 +351,63 @@
     adjust_copies(placed.standby, -1);
 }
 
+void target_directory::on_notice(const target_notice& notice, core::instant now)
+{
+    known_target* known = find(notice.target);
+    if (known == nullptr) {
+        return;
+    }
+    const target_record& record = known->record.get();
+    if (notice.leaving && known->health->current_readiness(now) != routing::readiness::leaving) {
+        known->health->on_leaving(now);
+        note_left(record);
+        ending_targets_.push_back(record.name);
+        core::log_event(core::log_level::info, "target_leaving",
+                        {{"target", record.name.str()},
+                         {"service", record.service.str()},
+                         {"request", notice.request},
+                         {"source", "answer"}});
+    }
+    if (notice.hold > core::duration::zero() && now + notice.hold > known->held_until) {
+        known->held_until = now + notice.hold;
+        core::log_event(core::log_level::info, "target_held",
+                        {{"target", record.name.str()},
+                         {"service", record.service.str()},
+                         {"request", notice.request},
+                         {"for_ms", core::to_milliseconds(notice.hold)}});
+    }
+}
+
+void target_directory::note_left(const target_record& record)
+{
+    constexpr std::size_t max_left = 1024;
+    if (!left_.contains(record.name)) {
+        left_order_.push_back(record.name);
+    }
+    left_.insert_or_assign(record.name, record.started_at);
+    if (left_order_.size() > max_left) {
+        left_.erase(left_order_.front());
+        left_order_.pop_front();
+    }
+}
+
+std::optional<core::instant> target_directory::earliest_return(const core::service_name& service,
+                                                               core::instant now)
+{
+    std::optional<core::instant> earliest;
+    for (const auto& [name, known] : targets_) {
+        if (known.record.get().service != service ||
+            known.health->current_readiness(now) == routing::readiness::leaving) {
+            continue;
+        }
+        if (!is_held(known, now)) {
+            return std::nullopt;
+        }
+        earliest = std::min(earliest.value_or(known.held_until), known.held_until);
+    }
+    return earliest;
+}
+
 void target_directory::on_loss(const core::target_name& target, core::instant now)
 {
     if (known_target* known = find(target); known != nullptr) {
--- a/src/relay/target_directory.hpp
+++ b/src/relay/target_directory.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -60,6 +61,14 @@
     /// @param unread_tokens prompt tokens that the target had not processed
     void on_closed(const placement& placed, std::uint64_t unread_tokens);
 
+    /// A target has said that it is leaving, or that it wants no request for a while.
+    void on_notice(const target_notice& notice, core::instant now);
+
+    /// @return when the first target of the service that wants no requests wants some again; empty
+    ///         if a target may be chosen now, or if none is listed
+    [[nodiscard]] std::optional<core::instant> earliest_return(const core::service_name& service,
+                                                               core::instant now);
+
     void on_loss(const core::target_name& target, core::instant now);
     void on_success(const core::target_name& target, core::instant now);
 
@@ -79,6 +88,8 @@
         local_work work;
         /// Position on the ring of the service's targets, 0 to 1.
         double ring_position = 0.0;
+        /// Until then the target wants no requests.
+        core::instant held_until{};
     };
 
     const relay_settings settings_;
@@ -90,6 +101,10 @@
     std::map<core::target_name, known_target> targets_;
     std::map<std::pair<core::service_name, core::failure_domain_name>, loss_times> losses_;
     std::vector<core::target_name> ending_targets_;
+    /// Incarnations that have said that they are leaving, by name, and the order in which they did.
+    /// They may be listed as ready again by an older record.
+    std::map<core::target_name, core::wall_time> left_;
+    std::deque<core::target_name> left_order_;
     /// Position of this instance on the ring of instances, 0 to 1.
     double own_ring_position_ = 0.0;
     std::size_t ejected_ = 0;
@@ -98,6 +113,11 @@
     void on_ejection_changed(bool ejected) override;
 
     void add(const target_record& record, core::instant now);
+    [[nodiscard]] static bool is_held(const known_target& known, core::instant now)
+    {
+        return now < known.held_until;
+    }
+    void note_left(const target_record& record);
     void assign_ring_positions();
     [[nodiscard]] double distance_to(const known_target& target) const;
     [[nodiscard]] std::vector<const known_target*>
--- a/src/standin/runner_task.cpp
+++ b/src/standin/runner_task.cpp
@@ -22,6 +22,7 @@
 constexpr std::string_view copy_path = "/stand-in-copy/";
 
 constexpr std::string_view id_field = "x-cyclamencourse-request-id";
+constexpr std::string_view leaving_field = "server-leaving";
 constexpr std::string_view parts_field = "x-cyclamencourse-prompt-prefix";
 constexpr std::string_view seal_field = "x-cyclamencourse-response-seal";
 
@@ -128,8 +129,8 @@
 
 void runner_task::on_message(const set_runner_fault& command)
 {
-    const bool ends_incarnation = fault_ == runner_fault::killed || fault_ == runner_fault::dark ||
-                                  fault_ == runner_fault::leaving;
+    const bool ends_incarnation =
+        fault_ == runner_fault::killed || fault_ == runner_fault::dark || is_leaving();
     if (command.kind == runner_fault::killed || command.kind == runner_fault::dark) {
         end_incarnation();
     }
@@ -208,7 +209,8 @@
     else if (!expected.empty() && expected != name()) {
         reject(exchange, id, status_misdirected);
     }
-    else if (fault_ == runner_fault::shedding || runs_.size() >= settings_.slots) {
+    else if (fault_ == runner_fault::shedding || fault_ == runner_fault::holding ||
+             runs_.size() >= settings_.slots) {
         reject(exchange, id, status_unavailable);
     }
     else if (!request.find_header("kv-from").empty() && copies_.erase(id) == 0) {
@@ -248,18 +250,32 @@
 
 void runner_task::reject(http::exchange_id exchange, const std::string& id, int status)
 {
-    server_->respond(exchange,
-                     http::response_head{status,
-                                         {{std::string{id_field}, id},
-                                          {"x-cyclamencourse-instance-id", name()},
-                                          {"x-cyclamencourse-not-executed", "1"}}},
-                     "");
+    std::vector<http::header> fields{{std::string{id_field}, id},
+                                     {"x-cyclamencourse-instance-id", name()},
+                                     {"x-cyclamencourse-not-executed", "1"}};
+    if (fault_ == runner_fault::holding) {
+        fields.push_back({"retry-after", "1"});
+    }
+    if (is_leaving()) {
+        fields.push_back({std::string{leaving_field}, "1"});
+    }
+    server_->respond(exchange, http::response_head{status, std::move(fields)}, "");
+}
+
+bool runner_task::is_leaving() const
+{
+    return fault_ == runner_fault::leaving || fault_ == runner_fault::leaving_unlisted;
 }
 
 std::vector<http::header> runner_task::answer_fields(const active_run& run) const
 {
     const std::string id = fault_ == runner_fault::mixing ? core::concat(run.id, "-other") : run.id;
-    return {{std::string{id_field}, id}, {std::string{seal_field}, core::concat("seal-", run.id)}};
+    std::vector<http::header> fields{{std::string{id_field}, id},
+                                     {std::string{seal_field}, core::concat("seal-", run.id)}};
+    if (is_leaving()) {
+        fields.push_back({std::string{leaving_field}, "1"});
+    }
+    return fields;
 }
 
 void runner_task::start_run(http::exchange_id exchange, const http::request& request)
--- a/src/standin/runner_task.hpp
+++ b/src/standin/runner_task.hpp
@@ -54,6 +54,8 @@
     dark,
     /// Every request is rejected without having run.
     shedding,
+    /// The same, and the answer asks the sender to wait for a second.
+    holding,
     /// Every request runs and fails.
     failing,
     /// Requests run, and their answers are lost.
@@ -66,9 +68,11 @@
     garbling,
     /// Plain answers have a content-length that disagrees with their chunked body.
     ambiguous,
-    /// The runner is listed as draining and continues to serve; a new incarnation starts when the
-    /// fault ends.
+    /// The runner is listed as draining, says so in its answers and continues to serve; a new
+    /// incarnation starts when the fault ends.
     leaving,
+    /// The same, but it is not listed as draining.
+    leaving_unlisted,
 };
 
 /// Starts a fault of a runner, or ends it.
@@ -167,6 +171,7 @@
     }
 
     [[nodiscard]] std::string name() const;
+    [[nodiscard]] bool is_leaving() const;
     void begin_incarnation();
     void write_row(std::string_view state, const std::string& previous_name);
     void end_incarnation();
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -299,3 +299,24 @@
         BOOST_TEST(!platform::decode_rollout_evidence(row("evidence/s/i", malformed)).ok());
     }
 }
+
+BOOST_AUTO_TEST_CASE(what_a_runner_says_of_itself_is_decoded_and_bounded)
+{
+    using namespace std::chrono_literals;
+    const auto notice = [](int status, std::vector<http::header> headers) {
+        return platform::decode_notice(http::response_head{status, std::move(headers)},
+                                       core::target_name{"i-1"}, "9c41");
+    };
+    BOOST_TEST(!notice(200, {}).has_value());
+    BOOST_TEST(notice(200, {{"server-leaving", "1"}})->leaving);
+    BOOST_TEST(!notice(200, {{"server-leaving", "0"}}).has_value());
+    BOOST_TEST((notice(503, {{"retry-after", "2"}})->hold == 2s));
+    BOOST_TEST((notice(503, {{"retry-after", "0.25"}})->hold == 250ms));
+    BOOST_TEST(!notice(200, {{"retry-after", "2"}}).has_value());
+    for (const char* invalid : {"", "soon", "-1", "Fri, 04 Dec 2026 12:00:00 GMT", "nan", "1s"}) {
+        BOOST_TEST(!notice(503, {{"retry-after", invalid}}).has_value());
+    }
+    for (const char* too_long : {"7200", "1e30", "inf"}) {
+        BOOST_TEST((notice(503, {{"retry-after", too_long}})->hold == 5min));
+    }
+}
--- a/tests/platform/instance_test.cpp
+++ b/tests/platform/instance_test.cpp
@@ -312,3 +312,34 @@
     const auto sound = fixture.send("good-1", "/s/x", true, "head:100,");
     BOOST_TEST(sound.body.find("id: 60\n") != std::string::npos);
 }
+
+BOOST_AUTO_TEST_CASE(a_runner_that_asks_for_no_requests_gets_none_until_that_time_is_over)
+{
+    captured_log log;
+    platform_fixture fixture;
+    constexpr int status_ok = 200;
+    constexpr int status_unavailable = 503;
+    fixture.inject_fault("desk", runner_fault::holding);
+    BOOST_TEST(fixture.send("call-4", "/u/x", false).status == status_unavailable);
+    fixture.inject_fault("desk", runner_fault::none);
+    BOOST_TEST(fixture.send("call-5", "/u/x", false).status == status_unavailable);
+    BOOST_TEST(log.events_of("call-5").find("attempt_opened") == std::string::npos);
+    std::this_thread::sleep_for(1s);
+    BOOST_TEST(fixture.send("call-6", "/u/x", false).status == status_ok);
+}
+
+BOOST_AUTO_TEST_CASE(a_runner_that_says_it_leaves_gets_no_further_request)
+{
+    captured_log log;
+    platform_fixture fixture;
+    constexpr int status_ok = 200;
+    constexpr int status_unavailable = 503;
+    fixture.inject_fault("desk", runner_fault::leaving_unlisted);
+    BOOST_TEST(fixture.send("call-7", "/u/x", false).status == status_ok);
+    BOOST_TEST(fixture.send("call-8", "/u/x", false).status == status_unavailable);
+    BOOST_TEST(log.contains("event=target_leaving"));
+    // Its next incarnation serves again.
+    fixture.inject_fault("desk", runner_fault::none);
+    std::this_thread::sleep_for(500ms);
+    BOOST_TEST(fixture.send("call-9", "/u/x", false).status == status_ok);
+}
