Split the request, the manager, the directory and the messages of the relay by concept

Moves only: outcomes of attempts, crashes, instances, and notices of targets have files of their own, and so have the messages from and to the store. A test no longer moves a message twice in a macro.

--- a/src/relay/relay_manager.cpp
+++ b/src/relay/relay_manager.cpp
@@ -164,20 +164,6 @@
     confirmation_.emplace(confirmation);
 }
 
-void relay_manager::on(const crashes_listed& update)
-{
-    for (const std::string& each : update.gone) {
-        crashes_.remove(each);
-    }
-    for (const crash_record& each : update.present) {
-        crashes_.add(each, now_);
-        core::log_event(core::log_level::info, "crash_learnt",
-                        {{"record", each.name},
-                         {"service", each.service.str()},
-                         {"traits", core::join(each.traits, ",")}});
-    }
-}
-
 void relay_manager::on(const targets_listed& update)
 {
     targets_.on_targets(update, now_);
@@ -194,44 +180,6 @@
     }
 }
 
-void relay_manager::on(const members_listed& update)
-{
-    members_.update(update.complete, update.present, update.gone);
-    if (lifecycle_.is_serving() &&
-        std::find(update.gone.begin(), update.gone.end(), settings_.name) != update.gone.end()) {
-        // Another instance could not reach this one for a while and withdrew its entry.
-        core::log_event(core::log_level::warning, "instance_missed", {});
-        host_.send(announce_member{true});
-    }
-    const std::vector<member> members = members_.members();
-    core::log_event(core::log_level::info, "instances_listed", {{"count", members.size()}});
-    budget_.set_instances(members.size());
-    targets_.on_members(members);
-    publish_directory();
-    if (!next_watch_at_.has_value()) {
-        next_watch_at_ = now_ + settings_.watch.period;
-    }
-}
-
-void relay_manager::on(const instance_answered& answer)
-{
-    const auto silent = members_.on_answer(answer.name, answer.alive);
-    if (silent.has_value()) {
-        core::log_event(core::log_level::warning, "instance_withdrawn",
-                        {{"instance", answer.name.str()}, {"entry_version", silent->version}});
-        host_.send(withdraw_member{answer.name, silent->version});
-    }
-}
-
-void relay_manager::watch()
-{
-    next_watch_at_ = now_ + settings_.watch.period;
-    withdraw_expired_crashes();
-    if (const auto watched = members_.watched(); watched.has_value()) {
-        host_.send(ask_instance{watched->name, watched->readiness_address});
-    }
-}
-
 void relay_manager::on(const stop_requested& /*request*/)
 {
     lifecycle_.raise(entry_lifecycle_event::stop_ordered, now_);
@@ -315,11 +263,6 @@
     }
 }
 
-void relay_manager::publish_directory()
-{
-    host_.send(directory_changed{lifecycle_.is_serving(), members_.members()});
-}
-
 void relay_manager::update_or_remove(request_number number)
 {
     const auto found = requests_.find(number);
@@ -427,56 +370,6 @@
     host_.send(metrics_answer{query.caller, metrics_.text(requests_.size(), targets_.size())});
 }
 
-request_traits relay_manager::traits_of(const submission& submitted,
-                                        const core::account_name& account)
-{
-    request_traits traits{submitted.shared_parts.begin(), submitted.shared_parts.end()};
-    traits.insert(core::concat(
-        "request:",
-        core::hash_of(account.str(), core::hash_of(submitted.content->path,
-                                                   core::hash_of(submitted.content->body)))));
-    return traits;
-}
-
-std::optional<core::duration> relay_manager::quarantine_of(const request_plan& plan) const
-{
-    return crashes_.quarantine_of(plan.service, plan.traits, now_);
-}
-
-void relay_manager::on_crash(const request_plan& plan, core::attempt_number attempt)
-{
-    const crash_record crash{core::concat(settings_.name.str(), "-",
-                                          core::hash_of(plan.submitted.content->id), "-",
-                                          attempt.value()),
-                             plan.service, plan.traits};
-    for (const crash_record& each : crashes_.add_own(crash, now_)) {
-        core::log_event(core::log_level::warning, "crash_reported",
-                        {{"record", each.name},
-                         {"service", each.service.str()},
-                         {"traits", core::join(each.traits, ",")},
-                         {"known_crashes", crashes_.size()}});
-        host_.send(report_crash{each});
-    }
-}
-
-void relay_manager::on_survived(const request_plan& plan)
-{
-    const std::vector<std::string>& parts = plan.submitted.shared_parts;
-    crashes_.add_answered(plan.service, request_traits{parts.begin(), parts.end()});
-}
-
-void relay_manager::withdraw_expired_crashes()
-{
-    const std::vector<std::string> expired = crashes_.take_expired(now_);
-    const std::vector<member> members = members_.members();
-    // One instance of the fleet removes the records of all.
-    if (!members.empty() && members.front().name == settings_.name) {
-        for (const std::string& each : expired) {
-            host_.send(withdraw_crash{each});
-        }
-    }
-}
-
 void relay_manager::on_loss(const core::target_name& target)
 {
     targets_.on_loss(target, now_);
--- /dev/null
+++ b/src/relay/relay_manager_crashes.cpp
@@ -0,0 +1,75 @@
+#include "core/hash.hpp"
+#include "core/log.hpp"
+#include "core/text.hpp"
+#include "relay/relay_manager.hpp"
+
+/// @file
+/// Requests that crash the targets that run them.
+
+namespace cyclamen::relay {
+
+void relay_manager::on(const crashes_listed& update)
+{
+    for (const std::string& each : update.gone) {
+        crashes_.remove(each);
+    }
+    for (const crash_record& each : update.present) {
+        crashes_.add(each, now_);
+        core::log_event(core::log_level::info, "crash_learnt",
+                        {{"record", each.name},
+                         {"service", each.service.str()},
+                         {"traits", core::join(each.traits, ",")}});
+    }
+}
+
+request_traits relay_manager::traits_of(const submission& submitted,
+                                        const core::account_name& account)
+{
+    request_traits traits{submitted.shared_parts.begin(), submitted.shared_parts.end()};
+    traits.insert(core::concat(
+        "request:",
+        core::hash_of(account.str(), core::hash_of(submitted.content->path,
+                                                   core::hash_of(submitted.content->body)))));
+    return traits;
+}
+
+std::optional<core::duration> relay_manager::quarantine_of(const request_plan& plan) const
+{
+    return crashes_.quarantine_of(plan.service, plan.traits, now_);
+}
+
+void relay_manager::on_crash(const request_plan& plan, core::attempt_number attempt)
+{
+    const crash_record crash{core::concat(settings_.name.str(), "-",
+                                          core::hash_of(plan.submitted.content->id), "-",
+                                          attempt.value()),
+                             plan.service, plan.traits};
+    for (const crash_record& each : crashes_.add_own(crash, now_)) {
+        core::log_event(core::log_level::warning, "crash_reported",
+                        {{"record", each.name},
+                         {"service", each.service.str()},
+                         {"traits", core::join(each.traits, ",")},
+                         {"known_crashes", crashes_.size()}});
+        host_.send(report_crash{each});
+    }
+}
+
+void relay_manager::on_survived(const request_plan& plan)
+{
+    const std::vector<std::string>& parts = plan.submitted.shared_parts;
+    crashes_.add_answered(plan.service, request_traits{parts.begin(), parts.end()});
+}
+
+void relay_manager::withdraw_expired_crashes()
+{
+    const std::vector<std::string> expired = crashes_.take_expired(now_);
+    const std::vector<member> members = members_.members();
+    // One instance of the fleet removes the records of all.
+    if (!members.empty() && members.front().name == settings_.name) {
+        for (const std::string& each : expired) {
+            host_.send(withdraw_crash{each});
+        }
+    }
+}
+
+} // namespace cyclamen::relay
--- /dev/null
+++ b/src/relay/relay_manager_members.cpp
@@ -0,0 +1,54 @@
+#include <algorithm>
+
+#include "core/log.hpp"
+#include "relay/relay_manager.hpp"
+
+/// @file
+/// The other instances of the fleet.
+
+namespace cyclamen::relay {
+
+void relay_manager::on(const members_listed& update)
+{
+    members_.update(update.complete, update.present, update.gone);
+    if (lifecycle_.is_serving() &&
+        std::find(update.gone.begin(), update.gone.end(), settings_.name) != update.gone.end()) {
+        // Another instance could not reach this one for a while and withdrew its entry.
+        core::log_event(core::log_level::warning, "instance_missed", {});
+        host_.send(announce_member{true});
+    }
+    const std::vector<member> members = members_.members();
+    core::log_event(core::log_level::info, "instances_listed", {{"count", members.size()}});
+    budget_.set_instances(members.size());
+    targets_.on_members(members);
+    publish_directory();
+    if (!next_watch_at_.has_value()) {
+        next_watch_at_ = now_ + settings_.watch.period;
+    }
+}
+
+void relay_manager::on(const instance_answered& answer)
+{
+    const auto silent = members_.on_answer(answer.name, answer.alive);
+    if (silent.has_value()) {
+        core::log_event(core::log_level::warning, "instance_withdrawn",
+                        {{"instance", answer.name.str()}, {"entry_version", silent->version}});
+        host_.send(withdraw_member{answer.name, silent->version});
+    }
+}
+
+void relay_manager::watch()
+{
+    next_watch_at_ = now_ + settings_.watch.period;
+    withdraw_expired_crashes();
+    if (const auto watched = members_.watched(); watched.has_value()) {
+        host_.send(ask_instance{watched->name, watched->readiness_address});
+    }
+}
+
+void relay_manager::publish_directory()
+{
+    host_.send(directory_changed{lifecycle_.is_serving(), members_.members()});
+}
+
+} // namespace cyclamen::relay
--- a/src/relay/relayed_request.cpp
+++ b/src/relay/relayed_request.cpp
@@ -109,49 +109,12 @@
     raise(request_event::attempt_lost, now);
 }
 
-void relayed_request::note_progress()
-{
-    if (!survived_ && begun_at_.has_value() && now_ - *begun_at_ >= settings_.crash_window) {
-        survived_ = true;
-        host_.on_survived(plan_);
-    }
-}
-
-bool relayed_request::may_have_crashed_target() const
-{
-    return !survived_ && begun_at_.has_value() && now_ - *begun_at_ < settings_.crash_window &&
-           !plan_.traits.empty();
-}
-
-bool relayed_request::is_quarantined() const
-{
-    return host_.quarantine_of(plan_).has_value();
-}
-
 request_event relayed_request::missing_target_event()
 {
     return host_.time_to_return(plan_.service).has_value() ? request_event::targets_held
                                                            : request_event::target_missing;
 }
 
-void relayed_request::refuse_held()
-{
-    // The requests that are refused now come back one after the other.
-    constexpr std::uint64_t steps = 1000;
-    const double place = static_cast<double>(core::hash_of(plan_.submitted.content->id) % steps) /
-                         static_cast<double>(steps);
-    const core::duration wait =
-        host_.time_to_return(plan_.service).value_or(core::duration::zero());
-    refuse(core::error_kind::overloaded, "all targets want no requests for a while", true,
-           wait + core::fraction_of(std::max(wait, settings_.retry_after), place));
-}
-
-void relayed_request::refuse_quarantined()
-{
-    refuse(core::error_kind::quarantined, quarantine_problem, true,
-           host_.quarantine_of(plan_).value_or(settings_.retry_after));
-}
-
 void relayed_request::on(const target_answered& answer, core::instant now)
 {
     if (placed_.has_value()) {
@@ -219,25 +182,6 @@
     return deadline;
 }
 
-void relayed_request::check_slow(const core::version_name& version, core::duration limit,
-                                 core::instant now)
-{
-    now_ = now;
-    if (placed_.has_value() && placed_->get().target.version == version && !attempt_has_events_ &&
-        now - attempt_opened_at_ > limit) {
-        report_outcome(true);
-    }
-}
-
-void relayed_request::report_outcome(bool failed)
-{
-    // An attempt that resumes from a copy is faster than any other.
-    if (!outcome_reported_ && !placed_->get().from_copy) {
-        outcome_reported_ = true;
-        host_.on_attempt_outcome(plan_, placed_->get().target, now_ - attempt_opened_at_, failed);
-    }
-}
-
 void relayed_request::on_timer(core::instant now)
 {
     if (protection_ != nullptr) {
@@ -437,33 +381,6 @@
     }
 }
 
-void relayed_request::record_attempt_end(std::string_view event)
-{
-    const placement& placed = placed_->get();
-    host_.on_attempt_ended(plan_, event);
-    tried_.insert(placed.target.name);
-    lost_domain_ = placed.target.domain;
-    // No standby has a copy of a request that has not started to run.
-    const auto copy = attempt_has_events_ && protection_ != nullptr ? protection_->copy()
-                                                                    : std::optional<run_copy>{};
-    const bool has_copy = copy.has_value();
-    copy_holder_ = has_copy ? std::optional{placed.standby->name} : std::nullopt;
-    if (has_copy) {
-        copy_.emplace(*copy);
-    }
-    core::log_event(core::log_level::info, event,
-                    {{"request", plan_.submitted.content->id},
-                     {"attempt", attempt_.value()},
-                     {"target", placed.target.name.str()},
-                     {"domain", placed.target.domain.str()},
-                     {"from_copy", placed.from_copy},
-                     {"copy_at", has_copy ? placed.standby->name.str() : "none"},
-                     {"last_event", last_event_.value_or("none")},
-                     {"after_ms", core::to_milliseconds(now_ - plan_.accepted)},
-                     {"may_have_crashed", may_have_crashed_target()},
-                     {"detail", loss_detail_}});
-}
-
 void relayed_request::begin_answer()
 {
     if (!answer_begun_) {
@@ -502,34 +419,6 @@
     finish("answered");
 }
 
-void relayed_request::refuse(core::error_kind kind, std::string_view problem, bool not_run,
-                             core::duration retry_after)
-{
-    host_.send(answer_refused{plan_.submitted.caller,
-                              core::failure{kind, std::string{problem}, not_run, retry_after}});
-    finish(not_run ? "refused" : "failed");
-}
-
-void relayed_request::finish(std::string_view outcome)
-{
-    const auto held = protection_ == nullptr ? std::optional<run_copy>{} : protection_->held_copy();
-    if (held.has_value()) {
-        host_.send(free_copy{*held});
-    }
-    host_.on_ended(plan_, outcome);
-    core::log_event(core::log_level::info, "request_ended",
-                    {{"request", plan_.submitted.content->id},
-                     {"outcome", outcome},
-                     {"route", plan_.matched_route.name},
-                     {"account", plan_.account.str()},
-                     {"attempts", attempt_.value()},
-                     {"runs", runs_},
-                     {"last_event", last_event_.value_or("none")},
-                     {"took_ms", core::to_milliseconds(now_ - plan_.accepted)},
-                     {"left_ms", core::to_milliseconds(answer_deadline() - now_)},
-                     {"last_loss", loss_detail_}});
-}
-
 void relayed_request::start_timer(chart::state_timeout timeout)
 {
     const auto which = static_cast<request_timeout>(timeout.timeout);
--- a/tests/platform/instance_test.cpp
+++ b/tests/platform/instance_test.cpp
@@ -116,7 +116,8 @@
 
     void send_to_store(standin::row_store_message message)
     {
-        BOOST_REQUIRE(store_.inbox()->post(std::move(message)).ok());
+        const absl::Status posted = store_.inbox()->post(std::move(message));
+        BOOST_REQUIRE(posted.ok());
     }
 
     /// Adds the route /new/ to the configuration.
