What an instance has seen of a rollout is written until the store lists it

Cause, found by reading the change: a lost write of evidence was not repeated, and a status row with a state other than the two ends had no known version, so that an outcome written under a condition would have been turned away for good.

Change: evidence is written at each review until it is listed; the state of a rollout is decoded as it stands.

Test: evidence_is_written_until_the_store_lists_it failed before (one report).

--- a/src/relay/rollout_records.hpp
+++ b/src/relay/rollout_records.hpp
@@ -21,12 +21,13 @@
     auto operator<=>(const rollout_order&) const = default;
 };
 
-/// How a rollout ended, as written by an instance.
+enum class rollout_state { running, completed, rolled_back };
+
+/// State of a rollout, as written by an instance.
 struct rollout_outcome {
     const core::service_name service;
     const core::version_name version;
-    /// True if the new version was accepted.
-    const bool completed;
+    const rollout_state state;
     /// Position among all changes of the store; an outcome before its order belongs to an earlier
     /// one.
     const std::uint64_t store_version;
--- a/src/relay/version_rollout.cpp
+++ b/src/relay/version_rollout.cpp
@@ -45,15 +45,23 @@
 
 void version_rollout::on_outcome(const rollout_outcome& outcome, core::instant now)
 {
-    if (outcome.version == order_.version && outcome.store_version > order_.store_version) {
+    if (outcome.version == order_.version && outcome.store_version > order_.store_version &&
+        outcome.state != rollout_state::running) {
         now_ = now;
-        raise(outcome.completed ? rollout_event::completed : rollout_event::rolled_back);
+        raise(outcome.state == rollout_state::completed ? rollout_event::completed
+                                                        : rollout_event::rolled_back);
     }
 }
 
 void version_rollout::on_evidence(const rollout_evidence& evidence, core::instant now)
 {
-    if (evidence.order == order_.store_version && evidence.instance != self_) {
+    if (evidence.order != order_.store_version) {
+        return;
+    }
+    if (evidence.instance == self_) {
+        own_unlisted_ = evidence.counts != own_.get();
+    }
+    else {
         others_.erase(evidence.instance);
         others_.emplace(evidence.instance, evidence.counts);
         now_ = now;
@@ -103,7 +111,7 @@
     const bool is_new = version == order_.version;
     own_.set(add(own_.get(), version_counts{!is_new && good, !is_new && !good, is_new && good,
                                             is_new && !good}));
-    own_changed_ = own_changed_ || is_new;
+    own_unlisted_ = own_unlisted_ || is_new;
     now_ = now;
 }
 
@@ -115,8 +123,7 @@
         machine_.raise(*event, *this);
     }
     if (review_at_.has_value() && *review_at_ <= now) {
-        if (own_changed_) {
-            own_changed_ = false;
+        if (own_unlisted_) {
             host_.write_evidence(rollout_evidence{order_.service, order_.version, self_,
                                                   order_.store_version, own_.get()});
         }
--- a/src/relay/version_rollout.hpp
+++ b/src/relay/version_rollout.hpp
@@ -128,7 +128,8 @@
     double exposed_ = 0;
     bool exposed_last_ = false;
     core::cell<version_counts> own_{version_counts{}};
-    bool own_changed_ = false;
+    /// The store has not listed what this instance has seen of the new version.
+    bool own_unlisted_ = false;
     std::map<core::instance_name, version_counts> others_;
 
     void raise(rollout_event event);
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -280,11 +280,11 @@
                                                core::version_name{"v2"}, false, 0};
     const auto outcome = platform::decode_rollout_outcome(row(
         platform::encode_rollout_key(written.service), platform::encode_rollout_outcome(written)));
-    BOOST_REQUIRE((outcome.ok() && outcome->has_value()));
-    BOOST_TEST(!(*outcome)->completed);
+    BOOST_REQUIRE(outcome.ok());
+    BOOST_TEST((outcome->state == relay::rollout_state::rolled_back));
     const auto running = platform::decode_rollout_outcome(
         row("rollout/engines", R"({"state":"running","to":"v2"})"));
-    BOOST_TEST((running.ok() && !running->has_value()));
+    BOOST_TEST((running.ok() && running->state == relay::rollout_state::running));
     const relay::rollout_evidence seen{core::service_name{"engines"}, core::version_name{"v2"},
                                        core::instance_name{"i-0"}, 12,
                                        relay::version_counts{4, 3, 2, 1}};
--- a/tests/relay/rollout_test.cpp
+++ b/tests/relay/rollout_test.cpp
@@ -66,10 +66,10 @@
 {
     relay_fixture fixture;
     order_rollout(fixture);
-    fixture.handle(
-        relay::rollout_reports_listed{{relay::rollout_outcome{core::service_name{"engines"},
-                                                              core::version_name{"v2"}, false, 10}},
-                                      {}});
+    fixture.handle(relay::rollout_reports_listed{
+        {relay::rollout_outcome{core::service_name{"engines"}, core::version_name{"v2"},
+                                relay::rollout_state::rolled_back, 10}},
+        {}});
     for (std::uint64_t caller = 1; caller <= 60; ++caller) {
         fixture.submit(caller);
         BOOST_TEST(!is_new(fixture));
--- a/tests/relay/version_rollout_test.cpp
+++ b/tests/relay/version_rollout_test.cpp
@@ -62,10 +62,10 @@
                              now_);
     }
 
-    void end(bool completed, std::uint64_t store_version)
+    void end(relay::rollout_state state, std::uint64_t store_version)
     {
         rollout_.on_outcome(
-            relay::rollout_outcome{order.service, order.version, completed, store_version}, now_);
+            relay::rollout_outcome{order.service, order.version, state, store_version}, now_);
     }
 
     /// @return true if a further request may be sent to a target of the new version
@@ -128,7 +128,7 @@
     const std::size_t written = fixture.written.size();
     fixture.advance(2s);
     BOOST_TEST(fixture.written.size() == written + 1);
-    fixture.end(true, 8);
+    fixture.end(relay::rollout_state::completed, 8);
     fixture.advance(10s);
     BOOST_TEST(fixture.written.size() == written + 1);
     BOOST_TEST(fixture.admits_new());
@@ -167,9 +167,11 @@
 {
     rollout_fixture fixture{12};
     // An outcome from before the order belongs to an earlier one.
-    fixture.end(true, 6);
+    fixture.end(relay::rollout_state::completed, 6);
     BOOST_TEST(!fixture.admits_new());
-    fixture.end(false, 8);
+    fixture.end(relay::rollout_state::running, 8);
+    BOOST_TEST(!fixture.admits_new());
+    fixture.end(relay::rollout_state::rolled_back, 9);
     BOOST_TEST(fixture.serve(100, true) == 0);
     BOOST_TEST(fixture.written.empty());
 }
@@ -184,3 +186,16 @@
     }
     BOOST_TEST(exposed <= 122);
 }
+
+BOOST_AUTO_TEST_CASE(evidence_is_written_until_the_store_lists_it)
+{
+    rollout_fixture fixture{12};
+    fixture.target_listed = true;
+    BOOST_TEST(fixture.serve(1, false) == 1);
+    fixture.advance(1s);
+    const std::size_t reports = fixture.reports;
+    BOOST_TEST(reports > 1U);
+    fixture.learn("i-0", relay::version_counts{0, 0, 0, 1});
+    fixture.advance(1s);
+    BOOST_TEST(fixture.reports == reports);
+}
