A socket is closed after the callback of its last write

A debugger showed one thread spinning in h2o's loop over pending callbacks.

Cause: h2o 2.2 frees closed sockets at the start of an iteration and calls pending callbacks after that. A write from a message or a timer leaves such a callback; if the connection was closed before the next iteration, as at the end of a process or when a stream is cut, the list held freed memory. Where the memory was used again, the loop had no end.

Change: a stream that is destroyed while a write is in progress shuts its connection down and leaves the closing to the write's callback; the bytes being written outlive the stream.

--- a/src/http/tcp_stream.cpp
+++ b/src/http/tcp_stream.cpp
@@ -34,9 +34,11 @@
 
 tcp_stream::tcp_stream(st_h2o_socket_t* socket, bool connected,
                        core::duration unacknowledged_timeout, stream_listener& listener)
-    : socket_{socket}, listener_{listener}, connected_{connected}
+    : socket_{socket}, listener_{listener}, state_{std::make_unique<socket_state>()}, connected_{
+                                                                                          connected}
 {
-    socket_->data = this;
+    state_->stream = this;
+    socket_->data = state_.get();
     set_options(h2o_socket_get_fd(socket_), unacknowledged_timeout);
 }
 
@@ -62,13 +64,23 @@
 
 tcp_stream::~tcp_stream()
 {
-    h2o_socket_close(socket_);
+    if (state_->in_flight.empty()) {
+        h2o_socket_close(socket_);
+        return;
+    }
+    // A write is in progress, and its callback may be pending. h2o would free a socket that is
+    // closed now before it calls the pending callbacks, so on_written() closes it. The shutdown
+    // makes that happen at once even if the peer doesn't read.
+    h2o_socket_read_stop(socket_);
+    ::shutdown(h2o_socket_get_fd(socket_), SHUT_RDWR);
+    state_->stream = nullptr;
+    (void)state_.release();
 }
 
 void tcp_stream::write(std::string_view bytes)
 {
     pending_.append(bytes);
-    if (!pending_.empty() && connected_ && in_flight_.empty()) {
+    if (!pending_.empty() && connected_ && state_->in_flight.empty()) {
         send_pending();
     }
 }
@@ -95,14 +107,14 @@
 
 void tcp_stream::send_pending()
 {
-    in_flight_.swap(pending_);
-    h2o_iovec_t bytes = h2o_iovec_init(in_flight_.data(), in_flight_.size());
+    state_->in_flight.swap(pending_);
+    h2o_iovec_t bytes = h2o_iovec_init(state_->in_flight.data(), state_->in_flight.size());
     h2o_socket_write(socket_, &bytes, 1, on_written);
 }
 
 void tcp_stream::on_connected(st_h2o_socket_t* socket, const char* error)
 {
-    auto* self = static_cast<tcp_stream*>(socket->data);
+    tcp_stream* self = static_cast<socket_state*>(socket->data)->stream;
     if (error != nullptr) {
         self->listener_.on_end(close_reason::broken);
         return;
@@ -117,7 +129,10 @@
 
 void tcp_stream::on_readable(st_h2o_socket_t* socket, const char* error)
 {
-    auto* self = static_cast<tcp_stream*>(socket->data);
+    tcp_stream* self = static_cast<socket_state*>(socket->data)->stream;
+    if (self == nullptr) {
+        return;
+    }
     if (error == nullptr) {
         self->listener_.on_bytes();
         return;
@@ -129,8 +144,14 @@
 
 void tcp_stream::on_written(st_h2o_socket_t* socket, const char* error)
 {
-    auto* self = static_cast<tcp_stream*>(socket->data);
-    self->in_flight_.clear();
+    auto* state = static_cast<socket_state*>(socket->data);
+    tcp_stream* self = state->stream;
+    if (self == nullptr) {
+        const std::unique_ptr<socket_state> owned{state};
+        h2o_socket_close(socket);
+        return;
+    }
+    state->in_flight.clear();
     if (error != nullptr) {
         self->stop_reading();
         self->listener_.on_end(close_reason::broken);
--- a/src/http/tcp_stream.hpp
+++ b/src/http/tcp_stream.hpp
@@ -71,7 +71,7 @@
     void write(std::string_view bytes);
 
     /// @return number of bytes not yet handed to the operating system
-    [[nodiscard]] std::size_t unsent() const { return in_flight_.size() + pending_.size(); }
+    [[nodiscard]] std::size_t unsent() const { return state_->in_flight.size() + pending_.size(); }
 
     /// @return bytes received but not consumed
     [[nodiscard]] std::string_view input() const;
@@ -83,10 +83,18 @@
     void stop_reading();
 
   private:
+    /// What h2o's callbacks need; outlives the stream while a write is in progress.
+    struct socket_state {
+        /// Null once the stream is destroyed.
+        tcp_stream* stream;
+        /// Bytes that h2o is writing.
+        std::string in_flight;
+    };
+
     st_h2o_socket_t* socket_;
     stream_listener& listener_;
     std::string pending_;
-    std::string in_flight_;
+    std::unique_ptr<socket_state> state_;
     bool connected_;
 
     tcp_stream(st_h2o_socket_t* socket, bool connected, core::duration unacknowledged_timeout,
