Starts and outages cost the store few calls, however large the fleet

Every instance read all five tables and followed them for a second before it looked for a reader. After an outage it did so again, since no reader served yet at that moment; and during one every instance asked at the pace of a reader. Change: an instance reads the first table and, while it knows nobody, the list of instances; then it asks a reader, or a seed while nobody is listed (only seeds read the store then). Readers that don't serve yet are asked again for 1.5 s while the first table still comes from the store (chart news_source, state awaiting_reader). A new reader turns to the store at once unless it lost it.

--- a/src/replica/messages.hpp
+++ b/src/replica/messages.hpp
@@ -48,6 +48,9 @@
 struct follow_tables {
     /// The tables and the version of each that is already known.
     const std::vector<table_state> wanted;
+    /// True if other instances read the store and hand the tables on, so that a store that doesn't
+    /// answer may be asked less often.
+    const bool relaxed = false;
 
     auto operator<=>(const follow_tables&) const = default;
 };
--- a/src/replica/replica_source.cpp
+++ b/src/replica/replica_source.cpp
@@ -8,14 +8,14 @@
 
 const chart::vocabulary& source_vocabulary()
 {
-    static const chart::vocabulary words{{"settled", "store_answered", "tables_complete",
-                                          "store_lost", "reader_answered", "reader_failed"},
-                                         {"may_ask_reader", "may_ask_anyone", "store_answers",
-                                          "reader_left", "returns_to_store", "reader_demoted"},
-                                         {"probe_store", "follow_store", "leave_store",
-                                          "list_readers", "list_everyone", "ask_next", "ask_again",
-                                          "take_news", "note_failure"},
-                                         {"settle_time", "ask_limit", "feed_limit"}};
+    static const chart::vocabulary words{
+        {"settled", "store_answered", "tables_complete", "store_lost", "reader_answered",
+         "reader_failed", "reader_due"},
+        {"may_ask_reader", "may_ask_anyone", "store_answers", "reader_left", "returns_to_store",
+         "reader_demoted", "may_await_reader", "former_source_left"},
+        {"probe_store", "follow_store", "leave_store", "list_readers", "list_everyone", "ask_next",
+         "ask_again", "take_news", "note_failure"},
+        {"settle_time", "ask_limit", "feed_limit", "reader_pause"}};
     return words;
 }
 
@@ -36,6 +36,9 @@
 void replica_source::raise(source_event event, core::instant now)
 {
     now_ = now;
+    if (event == source_event::store_lost) {
+        store_lost_at_ = now;
+    }
     machine_.raise(static_cast<chart::symbol>(event), *this);
 }
 
@@ -56,12 +59,24 @@
     plan_.set(choose_sources(members, settings_.self, settings_.domain, settings_.choice));
 }
 
+bool replica_source::is_reader() const
+{
+    const source_plan& plan = plan_.get();
+    if (!plan.readers.empty() || !plan.others.empty() || settings_.seeds.empty()) {
+        return plan.reads_store;
+    }
+    return std::find(settings_.seeds.begin(), settings_.seeds.end(), settings_.feed) !=
+           settings_.seeds.end();
+}
+
 std::vector<feed_peer> replica_source::known_readers() const
 {
     std::vector<feed_peer> readers = plan_.get().readers;
     if (readers.empty()) {
         for (const core::socket_address& each : settings_.seeds) {
-            readers.push_back(feed_peer{{}, {}, each, 0.0});
+            if (each != settings_.feed) {
+                readers.push_back(feed_peer{{}, {}, each, 0.0});
+            }
         }
     }
     return readers;
@@ -111,7 +126,7 @@
 {
     switch (static_cast<source_guard>(guard)) {
     case source_guard::may_ask_reader:
-        return !plan_.get().reads_store && may_search();
+        return !is_reader() && may_search();
     case source_guard::may_ask_anyone:
         return !known_readers().empty() && may_search();
     case source_guard::store_answers:
@@ -119,7 +134,15 @@
     case source_guard::reader_left:
         return next_ < candidates_.size();
     case source_guard::returns_to_store:
-        return plan_.get().reads_store && now_ - store_left_at_ >= settings_.return_pause;
+        return is_reader() &&
+               (!store_lost_at_.has_value() || now_ - *store_lost_at_ >= settings_.return_pause);
+    case source_guard::former_source_left:
+        return last_source_.has_value() &&
+               std::find(candidates_.begin() + static_cast<std::ptrdiff_t>(next_),
+                         candidates_.end(), last_source_->get()) != candidates_.end();
+    case source_guard::may_await_reader:
+        return host_.store_answers() && !is_reader() &&
+               now_ - readers_missed_at_.value_or(now_) < settings_.max_reader_wait;
     case source_guard::reader_demoted:
         break;
     }
@@ -133,10 +156,10 @@
         host_.follow_store(store_scope::first_table);
         break;
     case source_action::follow_store:
+        readers_missed_at_.reset();
         host_.follow_store(store_scope::all_tables);
         break;
     case source_action::leave_store:
-        store_left_at_ = now_;
         host_.follow_store(store_scope::nothing);
         core::log_event(core::log_level::info, "reader_followed",
                         {{"reader", current_reader().name.str()},
@@ -158,9 +181,11 @@
         break;
     case source_action::take_news:
         last_source_.emplace(current_reader());
+        readers_missed_at_.reset();
         host_.apply_answer();
         break;
     case source_action::note_failure:
+        readers_missed_at_ = readers_missed_at_.value_or(now_);
         core::log_event(core::log_level::info, "reader_lost",
                         {{"reader", current_reader().name.str()},
                          {"address", core::to_string(current_reader().feed)},
@@ -174,6 +199,9 @@
 {
     core::duration length = settings_.answer_limit;
     switch (static_cast<source_timeout>(timeout.timeout)) {
+    case source_timeout::reader_pause:
+        length = settings_.reader_pause;
+        break;
     case source_timeout::settle_time:
         length = settings_.settle_time;
         break;
--- a/src/replica/replica_source.hpp
+++ b/src/replica/replica_source.hpp
@@ -20,6 +20,7 @@
     store_lost,
     reader_answered,
     reader_failed,
+    reader_due,
 };
 
 /// Guards of the chart `news_source`.
@@ -30,6 +31,8 @@
     reader_left,
     returns_to_store,
     reader_demoted,
+    may_await_reader,
+    former_source_left,
 };
 
 /// Actions of the chart `news_source`.
@@ -46,7 +49,12 @@
 };
 
 /// Timeouts of the chart `news_source`.
-enum class source_timeout : chart::symbol { settle_time, ask_limit, feed_limit };
+enum class source_timeout : chart::symbol {
+    settle_time,
+    ask_limit,
+    feed_limit,
+    reader_pause,
+};
 
 /// @return the events, guards, actions and timeouts of the chart `news_source`
 [[nodiscard]] const chart::vocabulary& source_vocabulary();
@@ -55,6 +63,8 @@
 struct replica_source_settings {
     const core::instance_name self;
     const core::failure_domain_name domain;
+    /// Address at which other instances ask this one.
+    const core::socket_address feed;
     /// How long a reader may delay its answer until there is a change.
     const core::duration feed_wait = std::chrono::milliseconds{500};
     /// Time limit of a reader's answer, in addition to feed_wait.
@@ -65,21 +75,31 @@
     /// Minimum time between two searches for a reader: while the store is down, no reader can
     /// serve.
     const core::duration search_pause = std::chrono::seconds{2};
-    /// Delay before a reader that has lost the store tries it again.
+    /// Delay before a reader tries the store again, since it was lost.
     const core::duration return_pause = std::chrono::seconds{3};
+    /// Pause before readers that don't serve yet are asked again, and how long that goes on before
+    /// the store is read instead.
+    const core::duration reader_pause = std::chrono::milliseconds{250};
+    const core::duration max_reader_wait = std::chrono::milliseconds{1500};
     /// Maximum number of readers that are asked in one search.
     const std::size_t max_readers_asked = 3;
     /// Maximum number of other instances that are asked after them while the store doesn't answer.
     const std::size_t max_others_asked = 3;
     const source_choice_settings choice;
-    /// Addresses to ask while no instance is known.
+    /// Addresses to ask while no instance is known. If there are any, only instances at these
+    /// addresses read the store for the others until then.
     const std::vector<core::socket_address> seeds;
 
     auto operator<=>(const replica_source_settings&) const = default;
 };
 
 /// Which tables are followed at the store.
-enum class store_scope { nothing, first_table, all_tables };
+enum class store_scope {
+    nothing,
+    /// The first table, and the list of instances while it is unknown.
+    first_table,
+    all_tables,
+};
 
 /// Callbacks of replica_source, implemented by its owner. Called on the replica task.
 class replica_source_host {
@@ -130,14 +150,19 @@
     /// @return true if all tables are read from the store, so that this instance can serve others
     [[nodiscard]] bool reads_store() const { return machine_.is_in("serving"); }
 
+    /// @return true if this instance is to read the store for the others, or no other one is known
+    [[nodiscard]] bool is_reader() const;
+
   private:
     const replica_source_settings settings_;
     chart::machine machine_;
     replica_source_host& host_;
     chart::timer_set timers_;
     core::instant now_;
-    core::instant store_left_at_;
+    std::optional<core::instant> store_lost_at_;
     std::optional<core::instant> searched_at_;
+    /// When the first of the readers that were asked in vain failed.
+    std::optional<core::instant> readers_missed_at_;
     core::cell<source_plan> plan_;
     /// Instances to ask; those before next_ have been asked.
     std::vector<feed_peer> candidates_;
--- a/src/replica/replica_task.cpp
+++ b/src/replica/replica_task.cpp
@@ -1,6 +1,7 @@
 #include "replica/replica_task.hpp"
 
 #include <algorithm>
+#include <utility>
 
 #include "core/log.hpp"
 
@@ -88,17 +89,37 @@
 
 void replica_task::handle(const store_answered& answer)
 {
-    apply(answer.update);
-    if (answer.update.table == settings_.tables.front()) {
+    const std::string& table = answer.update.table;
+    const bool changed = apply(answer.update);
+    if (table == settings_.tables.front()) {
         confirm({}, now());
     }
-    answered_tables_.insert(answer.update.table);
-    source_.raise(source_event::store_answered, now());
+    answered_tables_.insert(table);
+    if (table == settings_.member_table && changed) {
+        peers_pending_ = true;
+    }
+    if (table == settings_.tables.front() && probing_) {
+        update_followed_tables();
+    }
+    report_store_answer();
     if (answered_tables_.size() == copies_.size()) {
         source_.raise(source_event::tables_complete, now());
     }
 }
 
+bool replica_task::knows_peers() const
+{
+    return settings_.member_table.empty() || !peers_.empty() ||
+           (answered_tables_.contains(settings_.member_table) && !peers_pending_);
+}
+
+void replica_task::report_store_answer()
+{
+    if (scope_ != store_scope::first_table || (store_answers() && knows_peers())) {
+        source_.raise(source_event::store_answered, now());
+    }
+}
+
 void replica_task::handle(const store_failed& failure)
 {
     answered_tables_.erase(failure.table);
@@ -122,6 +143,9 @@
         members.push_back(each);
     }
     source_.set_members(std::move(members));
+    if (std::exchange(peers_pending_, false) && scope_ == store_scope::first_table) {
+        report_store_answer();
+    }
 }
 
 void replica_task::on_request(http::exchange_id exchange, const http::request& received)
@@ -180,23 +204,33 @@
     update_followed_tables();
 }
 
-void replica_task::update_followed_tables()
+bool replica_task::is_followed(std::size_t table) const
 {
-    std::size_t count = probing_ ? settings_.probed_tables : 0;
-    if (scope_ != store_scope::nothing) {
-        count = std::max(count, scope_ == store_scope::all_tables ? settings_.tables.size() : 1);
+    if (scope_ == store_scope::all_tables) {
+        return true;
     }
+    if (table == 0) {
+        return probing_ || scope_ == store_scope::first_table;
+    }
+    // The other tables are read once the first one shows that the store answers.
+    const bool is_probed = probing_ && table < settings_.probed_tables && store_answers();
+    const bool lists_peers = settings_.tables[table] == settings_.member_table && peers_.empty();
+    return is_probed || (scope_ == store_scope::first_table && lists_peers);
+}
+
+void replica_task::update_followed_tables()
+{
     std::vector<table_state> wanted;
     for (std::size_t i = 0; i < settings_.tables.size(); ++i) {
         const std::string& table = settings_.tables[i];
-        if (i < count) {
+        if (is_followed(i)) {
             wanted.push_back(table_state{table, copies_.at(table).version()});
         }
         else {
             answered_tables_.erase(table);
         }
     }
-    store_->send(follow_tables{std::move(wanted)});
+    store_->send(follow_tables{std::move(wanted), !source_.is_reader()});
 }
 
 bool replica_task::store_answers() const
@@ -235,15 +269,17 @@
     questions_->cancel(question_);
 }
 
-void replica_task::apply(const table_update& update)
+bool replica_task::apply(const table_update& update)
 {
     const auto copy = copies_.find(update.table);
     if (copy == copies_.end()) {
-        return;
+        return false;
     }
-    if (const auto changed = copy->second.apply(update); changed.has_value()) {
+    const auto changed = copy->second.apply(update);
+    if (changed.has_value()) {
         listener_.on_update(*changed);
     }
+    return changed.has_value();
 }
 
 void replica_task::confirm(const core::instance_name& source, core::instant at)
--- a/src/replica/replica_task.hpp
+++ b/src/replica/replica_task.hpp
@@ -27,6 +27,8 @@
 struct replica_settings {
     /// Tables of the store that are replicated; the first one is used to probe the store.
     const std::vector<std::string> tables;
+    /// The table that lists the instances, empty if none does.
+    const std::string member_table = {};
     /// Address at which other instances ask for tables.
     const core::socket_address feed;
     const replica_source_settings source;
@@ -84,6 +86,8 @@
     std::unique_ptr<http::buffered_client> questions_;
     std::map<std::string, table_copy> copies_;
     std::map<core::instance_name, feed_peer> peers_;
+    /// An update of the list of instances is being decoded.
+    bool peers_pending_ = false;
     /// Tables for which the store has answered since it was last lost or left.
     std::set<std::string> answered_tables_;
     std::map<http::exchange_id, waiting_query> waiting_;
@@ -116,7 +120,13 @@
     void probe_store(bool on) override;
 
     void update_followed_tables();
-    void apply(const table_update& update);
+    /// @return true if the table is read from the store
+    [[nodiscard]] bool is_followed(std::size_t table) const;
+    /// Tells the source that the store has answered, once the list of instances is known as well.
+    void report_store_answer();
+    [[nodiscard]] bool knows_peers() const;
+    /// @return true if the copy of the table has changed
+    bool apply(const table_update& update);
     void confirm(const core::instance_name& source, core::instant at);
     [[nodiscard]] std::vector<table_state> known() const;
     [[nodiscard]] bool can_serve() const;
--- a/tests/platform/table_follower_test.cpp
+++ b/tests/platform/table_follower_test.cpp
@@ -19,10 +19,11 @@
               static_cast<platform::follower_host&>(*this)}
     {
         follower_.start(now_);
-        follower_.follow(0, now_);
+        follower_.follow(0, false, now_);
     }
 
-    void follow(std::uint64_t known_version) { follower_.follow(known_version, now_); }
+    void relax() { follower_.follow(0, true, now_); }
+    void follow(std::uint64_t known_version) { follower_.follow(known_version, false, now_); }
     void stop() { follower_.stop(now_); }
 
     void answer(int status, const std::string& rows, std::uint64_t version)
@@ -170,3 +171,22 @@
     fixture.advance(250ms);
     BOOST_TEST(fixture.requests.size() == 2U);
 }
+
+BOOST_AUTO_TEST_CASE(a_store_that_does_not_answer_is_asked_less_often_while_others_read_it)
+{
+    constexpr auto outage = 30s;
+    std::size_t asked[2]{};
+    for (const bool relaxed : {false, true}) {
+        follower_fixture fixture;
+        fixture.answer(200, row, 5);
+        if (relaxed) {
+            fixture.relax();
+        }
+        for (core::duration passed{}; passed < outage; passed += 10ms) {
+            fixture.advance(10ms);
+        }
+        asked[relaxed ? 1 : 0] = fixture.requests.size();
+    }
+    BOOST_TEST(asked[1] * 2 <= asked[0]);
+    BOOST_TEST(asked[1] >= 2U);
+}
--- a/tests/replica/replica_source_test.cpp
+++ b/tests/replica/replica_source_test.cpp
@@ -18,6 +18,7 @@
     explicit source_fixture(const std::string& self, std::vector<core::socket_address> seeds = {})
         : source_{replica::replica_source_settings{.self = core::instance_name{self},
                                                    .domain = core::failure_domain_name{"a"},
+                                                   .feed = core::socket_address{"10.0.0.1", 99},
                                                    .seeds = std::move(seeds)},
                   *chart::library::embedded().load("news_source", replica::source_vocabulary()),
                   static_cast<replica::replica_source_host&>(*this)}
@@ -288,3 +289,77 @@
     BOOST_TEST(fixture.reads_store());
     BOOST_TEST(fixture.asked.size() == asked + 2);
 }
+
+BOOST_AUTO_TEST_CASE(while_no_instance_is_listed_only_seeds_read_all_tables)
+{
+    source_fixture seed{"i-0", {core::socket_address{"10.0.0.1", 99}}};
+    seed.answer_from_store();
+    BOOST_TEST((seed.scope == replica::store_scope::all_tables));
+
+    source_fixture other{"i-1", {core::socket_address{"10.0.0.9", 9}}};
+    other.answer_from_store();
+    BOOST_TEST((other.scope == replica::store_scope::first_table));
+    BOOST_TEST(other.asked.back() == "10.0.0.9:9");
+    other.raise(source_event::reader_answered);
+    BOOST_TEST(!other.follows_store());
+    // It does not return to the store as long as nobody is listed.
+    other.advance(500ms);
+    other.raise(source_event::reader_answered);
+    BOOST_TEST(!other.follows_store());
+}
+
+BOOST_AUTO_TEST_CASE(readers_that_do_not_serve_yet_are_awaited_before_the_store_is_read)
+{
+    source_fixture fixture{"i-7"};
+    fixture.list_members(20);
+    fixture.answer_from_store();
+    fixture.raise(source_event::reader_failed);
+    fixture.raise(source_event::reader_failed);
+    BOOST_TEST((fixture.scope == replica::store_scope::first_table));
+    const std::size_t asked = fixture.asked.size();
+    fixture.advance(250ms);
+    BOOST_TEST(fixture.asked.size() == asked + 1);
+    fixture.raise(source_event::reader_answered);
+    BOOST_TEST(!fixture.follows_store());
+}
+
+BOOST_AUTO_TEST_CASE(all_tables_are_read_if_no_reader_serves_within_the_time_limit)
+{
+    source_fixture fixture{"i-7"};
+    fixture.list_members(20);
+    fixture.answer_from_store();
+    for (int i = 0; i < 8 && fixture.scope != replica::store_scope::all_tables; ++i) {
+        fixture.raise(source_event::reader_failed);
+        fixture.raise(source_event::reader_failed);
+        fixture.advance(250ms);
+    }
+    BOOST_TEST((fixture.scope == replica::store_scope::all_tables));
+}
+
+BOOST_AUTO_TEST_CASE(a_new_reader_turns_to_the_store_at_once_unless_it_lost_it)
+{
+    source_fixture fixture{"i-0", {core::socket_address{"10.0.0.9", 9}}};
+    fixture.answer_from_store();
+    fixture.raise(source_event::reader_answered);
+    fixture.list_members(20);
+    fixture.raise(source_event::reader_answered);
+    BOOST_TEST((fixture.scope == replica::store_scope::first_table));
+}
+
+BOOST_AUTO_TEST_CASE(the_store_is_not_probed_while_the_former_source_can_still_be_asked)
+{
+    source_fixture fixture{"i-7", {core::socket_address{"10.0.0.9", 9}}};
+    fixture.answer_from_store();
+    fixture.raise(source_event::reader_answered);
+    // The readers of the list don't serve yet; the seed that was followed does.
+    fixture.list_members(20);
+    for (int i = 0; i < 4; ++i) {
+        fixture.advance(500ms);
+        fixture.raise(source_event::reader_answered);
+    }
+    BOOST_TEST(fixture.asked.back() != "10.0.0.9:9");
+    fixture.raise(source_event::reader_failed);
+    fixture.raise(source_event::reader_failed);
+    BOOST_TEST(!fixture.follows_store());
+    BOOST_TEST(fixture.asked.back() == "10.0.0.9:9");
+}
