Streams start only where an engine has room and can read them in time

Cause: nothing was refused while engines were overloaded. A stream was offered to the best of three engines however full; engines admit a waiting request as soon as its prompt fits and preempt it when the running ones grow, and copies of other streams took half of their memory. Change: src/limits decides (start_policy, baseline immediate_start): a request starts if the prompts before it are read in time, at the rate seen, and if the whole run fits into the memory that the engine reports; one request of a service waits for room at an instance, others are refused at once and told when to return, spread. Resumed requests and those that may have run are never refused.

--- a/src/relay/relay_manager.cpp
+++ b/src/relay/relay_manager.cpp
@@ -22,10 +22,13 @@
 } // namespace
 
 relay_manager::relay_manager(const relay_settings& settings, const relay_charts& charts,
-                             std::unique_ptr<target_chooser> chooser, relay_host& host)
-    : settings_{settings}, charts_{charts}, host_{host}, targets_{settings_, charts.target_health,
-                                                                  std::move(chooser)},
-      budget_{settings.retries}, lifecycle_{settings.lifecycle, charts.lifecycle, *this},
+                             std::unique_ptr<target_chooser> chooser,
+                             limits::engine_admission::policy_factory make_start_policy,
+                             relay_host& host)
+    : settings_{settings}, charts_{charts}, host_{host},
+      targets_{settings_, charts.target_health, std::move(chooser)}, budget_{settings.retries},
+      admission_{std::move(make_start_policy)}, lifecycle_{settings.lifecycle, charts.lifecycle,
+                                                           *this},
       members_{settings_.name, settings_.watch}, crashes_{settings_.crashes}
 {
 }
@@ -269,7 +272,9 @@
     const auto found = requests_.find(number);
     reschedule(number, *found->second);
     if (found->second->is_closed()) {
-        callers_.erase(found->second->plan().submitted.caller);
+        const request_plan& plan = found->second->plan();
+        admission_.on_ended(plan.service, number.value());
+        callers_.erase(plan.submitted.caller);
         requests_.erase(found);
     }
 }
--- a/src/relay/relay_manager.hpp
+++ b/src/relay/relay_manager.hpp
@@ -6,6 +6,7 @@
 #include <set>
 
 #include "core/cell.hpp"
+#include "limits/engine_admission.hpp"
 #include "relay/answer_baseline.hpp"
 #include "relay/entry_lifecycle.hpp"
 #include "relay/messages.hpp"
@@ -42,9 +43,11 @@
     /// @param settings settings of the instance
     /// @param charts the charts
     /// @param chooser strategy that selects targets
+    /// @param make_start_policy makes the policy by which requests start on a service's engines
     /// @param host callbacks; must outlive this object
     relay_manager(const relay_settings& settings, const relay_charts& charts,
-                  std::unique_ptr<target_chooser> chooser, relay_host& host);
+                  std::unique_ptr<target_chooser> chooser,
+                  limits::engine_admission::policy_factory make_start_policy, relay_host& host);
     ~relay_manager() override;
     relay_manager(const relay_manager&) = delete;
     relay_manager& operator=(const relay_manager&) = delete;
@@ -66,6 +69,7 @@
     relay_host& host_;
     target_directory targets_;
     retry_budget budget_;
+    limits::engine_admission admission_;
     relay_metrics metrics_;
     entry_lifecycle lifecycle_;
     core::instant now_;
@@ -135,6 +139,15 @@
                             const target_record& to) override;
     [[nodiscard]] std::optional<core::duration>
     time_to_return(const core::service_name& service) override;
+    [[nodiscard]] limits::engine_load load_of(const request_plan& plan, const target_record& target,
+                                              const reported_load& load) const override;
+    limits::start_decision admit(const request_plan& plan,
+                                 const limits::engine_load& load) override;
+    bool has_room_for_copy(const request_plan& plan, const limits::engine_load& load) override;
+    void on_started(const request_plan& plan, const limits::engine_load& load,
+                    core::duration took) override;
+    void on_run_finished(const request_plan& plan, core::duration run_time) override;
+    [[nodiscard]] limits::start_request start_request_of(const request_plan& plan) const;
     bool may_retry(const core::service_name& service) override;
     void count_retry(const core::service_name& service) override;
     void send(entry_command command) override;
--- /dev/null
+++ b/src/relay/relay_manager_admission.cpp
@@ -0,0 +1,57 @@
+#include "core/hash.hpp"
+#include "relay/relay_manager.hpp"
+
+/// @file
+/// Admission of new requests to engines.
+
+namespace cyclamen::relay {
+
+limits::start_request relay_manager::start_request_of(const request_plan& plan) const
+{
+    const core::duration waited = now_ - plan.accepted;
+    const core::duration max_wait = core::fraction_of(plan.matched_route.answer_goal,
+                                                      settings_.requests.placement_wait_fraction);
+    return limits::start_request{plan.submitted.prompt_tokens,
+                                 plan.submitted.max_output_tokens,
+                                 plan.matched_route.answer_goal,
+                                 waited,
+                                 waited < max_wait,
+                                 core::hash_of(plan.submitted.content->id)};
+}
+
+limits::engine_load relay_manager::load_of(const request_plan& plan, const target_record& target,
+                                           const reported_load& load) const
+{
+    return limits::engine_load{load.waiting,
+                               load.running,
+                               targets_.work_on(target.name).unread_tokens,
+                               load.memory_used,
+                               load.memory_total > 0 ? load.memory_total
+                                                     : plan.engine->memory_tokens,
+                               plan.engine->slots};
+}
+
+limits::start_decision relay_manager::admit(const request_plan& plan,
+                                            const limits::engine_load& load)
+{
+    return admission_.decide(plan.service, plan.number.value(), start_request_of(plan), load);
+}
+
+bool relay_manager::has_room_for_copy(const request_plan& plan, const limits::engine_load& load)
+{
+    return admission_.has_room_for_copy(plan.service, start_request_of(plan), load);
+}
+
+void relay_manager::on_started(const request_plan& plan, const limits::engine_load& load,
+                               core::duration took)
+{
+    admission_.on_first_event(plan.service,
+                              limits::start_observation{plan.submitted.prompt_tokens, load, took});
+}
+
+void relay_manager::on_run_finished(const request_plan& plan, core::duration run_time)
+{
+    admission_.on_finished(plan.service, run_time);
+}
+
+} // namespace cyclamen::relay
--- a/src/relay/relayed_request.cpp
+++ b/src/relay/relayed_request.cpp
@@ -230,6 +230,8 @@
         return settings_.placement_pause;
     case request_timeout::survey_limit:
         return settings_.survey_limit;
+    case request_timeout::room_pause:
+        return settings_.room_pause;
     case request_timeout::first_answer_limit:
         if (plan_.matched_route.kind == request_kind::unsafe) {
             return no_limit;
@@ -273,12 +275,9 @@
     case request_guard::events_seen:
         return attempt_has_events_;
     case request_guard::candidates_left:
-        return !pending_candidates_.empty();
-    case request_guard::candidate_lives:
         break;
     }
-    // A candidate may have left, or have asked for no requests, since it was asked for its load.
-    return !loads_.empty() && host_.place(make_query()).has_value();
+    return !pending_candidates_.empty();
 }
 
 void relayed_request::perform(chart::symbol action)
@@ -290,8 +289,8 @@
     case request_action::ask_candidates:
         ask_candidates();
         break;
-    case request_action::choose_candidate:
-        choose_candidate();
+    case request_action::weigh_candidates:
+        weigh_candidates();
         break;
     case request_action::note_survey:
         for (const auto& [name, each] : pending_candidates_) {
@@ -347,6 +346,9 @@
     case request_action::refuse_held:
         refuse_held();
         break;
+    case request_action::refuse_overloaded:
+        refuse_overloaded();
+        break;
     case request_action::refuse_quarantined:
         refuse_quarantined();
         break;
@@ -397,14 +399,26 @@
         report_outcome(false);
         host_.on_first_event(placed_->get().target.name, plan_.submitted.prompt_tokens);
         host_.on_success(placed_->get().target.name);
+        note_started();
     }
     begin_answer();
     host_.send(answer_events{plan_.submitted.caller, std::move(pending_events_)});
 }
 
+void relayed_request::note_started()
+{
+    if (start_load_.has_value()) {
+        first_event_at_ = now_;
+        host_.on_started(plan_, start_load_->get(), now_ - attempt_opened_at_);
+    }
+}
+
 void relayed_request::finish_answer()
 {
     begin_answer();
+    if (first_event_at_.has_value()) {
+        host_.on_run_finished(plan_, now_ - *first_event_at_);
+    }
     host_.send(answer_finished{plan_.submitted.caller});
     finish("finished");
 }
--- a/src/relay/relayed_request.hpp
+++ b/src/relay/relayed_request.hpp
@@ -9,6 +9,7 @@
 #include "chart/machine.hpp"
 #include "chart/timer_set.hpp"
 #include "core/cell.hpp"
+#include "limits/start_policy.hpp"
 #include "relay/messages.hpp"
 #include "relay/placement.hpp"
 #include "relay/relay_settings.hpp"
@@ -59,6 +60,22 @@
     ///         be chosen have asked for none
     virtual std::optional<core::duration> time_to_return(const core::service_name& service) = 0;
 
+    /// @param target an engine
+    /// @param load what it reported
+    /// @return its load, including the work that this instance has on it
+    [[nodiscard]] virtual limits::engine_load load_of(const request_plan& plan,
+                                                      const target_record& target,
+                                                      const reported_load& load) const = 0;
+
+    /// @param plan a request that no target has received
+    /// @param load the engine that was selected for it
+    /// @return whether it starts there
+    virtual limits::start_decision admit(const request_plan& plan,
+                                         const limits::engine_load& load) = 0;
+
+    /// @return true if an engine has room for a copy of the request's memory
+    virtual bool has_room_for_copy(const request_plan& plan, const limits::engine_load& load) = 0;
+
     /// @return true if the retry budget of the service allows one more attempt
     virtual bool may_retry(const core::service_name& service) = 0;
 
@@ -72,6 +89,15 @@
     virtual void on_first_event(const core::target_name& target, std::uint64_t prompt_tokens) = 0;
     virtual void on_closed(const placement& placed, std::uint64_t unread_tokens) = 0;
 
+    /// An engine has sent the first event of a new request.
+    /// @param load the engine when it received the request
+    /// @param took time since then
+    virtual void on_started(const request_plan& plan, const limits::engine_load& load,
+                            core::duration took) = 0;
+    /// A stream is complete.
+    /// @param run_time time since its first event
+    virtual void on_run_finished(const request_plan& plan, core::duration run_time) = 0;
+
     /// The caller received its response, or the first event of a stream.
     /// @param waited time since the request was accepted
     virtual void on_answered(const request_plan& plan, core::duration waited) = 0;
@@ -168,6 +194,11 @@
     /// Targets that were asked for their load and have not answered yet.
     std::map<core::target_name, target_record> pending_candidates_;
     std::map<core::target_name, reported_load> loads_;
+    /// The engine of the current attempt when it received the request, if that is new work there.
+    std::optional<core::cell<limits::engine_load>> start_load_;
+    /// Delay for the caller if the request is refused for lack of room.
+    core::duration overload_retry_after_{};
+    std::optional<core::instant> first_event_at_;
     std::set<core::target_name> tried_;
     std::optional<core::failure_domain_name> lost_domain_;
     /// Set only while a stream with a standby is in progress.
@@ -216,10 +247,16 @@
     [[nodiscard]] placement_query make_query() const;
     void seek_target();
     void ask_candidates();
-    void choose_candidate();
+    void weigh_candidates();
+    [[nodiscard]] request_event admit_candidate(const placement& found);
+    /// @return the standby, empty if it has no room for a copy
+    [[nodiscard]] std::optional<target_record> fitting_standby(const placement& found) const;
+    [[nodiscard]] bool is_new_work() const;
+    void refuse_overloaded();
     void start_attempt();
     void begin_answer();
     void deliver_events();
+    void note_started();
     void finish_answer();
     void deliver_answer();
 
--- a/src/relay/relayed_request_outcome.cpp
+++ b/src/relay/relayed_request_outcome.cpp
@@ -66,6 +66,12 @@
            wait + core::fraction_of(std::max(wait, settings_.retry_after), place));
 }
 
+void relayed_request::refuse_overloaded()
+{
+    refuse(core::error_kind::overloaded, "the engines can't answer within the route's goal", true,
+           overload_retry_after_);
+}
+
 void relayed_request::refuse(core::error_kind kind, std::string_view problem, bool not_run,
                              core::duration retry_after)
 {
--- a/src/relay/relayed_request_placement.cpp
+++ b/src/relay/relayed_request_placement.cpp
@@ -33,6 +33,7 @@
 void relayed_request::seek_target()
 {
     loads_.clear();
+    start_load_.reset();
     pending_candidates_.clear();
     if (is_quarantined()) {
         follow_up_ = request_event::quarantine_found;
@@ -68,15 +69,65 @@
     }
 }
 
-void relayed_request::choose_candidate()
+void relayed_request::weigh_candidates()
 {
+    // A candidate may have left, or have asked for no requests, since it was asked for its load.
+    const auto found = loads_.empty() ? std::nullopt : host_.place(make_query());
+    if (!found.has_value()) {
+        follow_up_ = request_event::candidates_lost;
+        return;
+    }
     for (const auto& [name, each] : pending_candidates_) {
         core::log_event(core::log_level::info, "survey_unanswered",
                         {{"request", plan_.submitted.content->id}, {"target", name.str()}});
         host_.on_loss(name);
     }
     pending_candidates_.clear();
-    placed_.emplace(*host_.place(make_query()));
+    follow_up_ = admit_candidate(*found);
+}
+
+request_event relayed_request::admit_candidate(const placement& found)
+{
+    const auto load = loads_.find(found.target.name);
+    if (!is_new_work() || load == loads_.end()) {
+        placed_.emplace(found);
+        return request_event::candidate_accepted;
+    }
+    const limits::engine_load engine = host_.load_of(plan_, found.target, load->second);
+    const limits::start_decision decision = host_.admit(plan_, engine);
+    if (decision.verdict == limits::start_verdict::start) {
+        start_load_.emplace(engine);
+        placed_.emplace(placement{found.target, fitting_standby(found), found.from_copy});
+        return request_event::candidate_accepted;
+    }
+    overload_retry_after_ = decision.retry_after;
+    core::log_event(core::log_level::info, "engines_overloaded",
+                    {{"request", plan_.submitted.content->id},
+                     {"target", found.target.name.str()},
+                     {"waiting", load->second.waiting},
+                     {"running", load->second.running},
+                     {"memory_used", load->second.memory_used},
+                     {"after_ms", core::to_milliseconds(now_ - plan_.accepted)},
+                     {"retry_after_ms", core::to_milliseconds(decision.retry_after)}});
+    return decision.verdict == limits::start_verdict::wait ? request_event::room_missing
+                                                           : request_event::engines_overloaded;
+}
+
+std::optional<target_record> relayed_request::fitting_standby(const placement& found) const
+{
+    if (!found.standby.has_value()) {
+        return std::nullopt;
+    }
+    const auto load = loads_.find(found.standby->name);
+    const bool fits =
+        load == loads_.end() ||
+        host_.has_room_for_copy(plan_, host_.load_of(plan_, *found.standby, load->second));
+    return fits ? found.standby : std::nullopt;
+}
+
+bool relayed_request::is_new_work() const
+{
+    return !may_have_run_ && !last_event_.has_value();
 }
 
 void relayed_request::start_attempt()
@@ -94,6 +145,8 @@
     ++offers_;
     // Decremented again if the target rejects the request or can't have received it.
     ++runs_;
+    const auto load = loads_.find(placed.target.name);
+    const bool reported = load != loads_.end();
     core::log_event(core::log_level::info, "attempt_opened",
                     {{"request", plan_.submitted.content->id},
                      {"attempt", attempt_.value()},
@@ -102,6 +155,9 @@
                      {"standby", placed.standby.has_value() ? placed.standby->name.str() : "none"},
                      {"from_copy", placed.from_copy},
                      {"last_event", last_event_.value_or("none")},
+                     {"waiting", reported ? load->second.waiting : 0},
+                     {"running", reported ? load->second.running : 0},
+                     {"memory_used", reported ? load->second.memory_used : 0},
                      {"after_ms", core::to_milliseconds(now_ - plan_.accepted)}});
     host_.on_opened(placed, plan_.submitted.prompt_tokens);
     host_.send(relay::open_attempt{
--- a/src/relay/reported_load.hpp
+++ b/src/relay/reported_load.hpp
@@ -9,6 +9,7 @@
 
 /// Load that an engine reports of itself. It is a few hundred milliseconds old on arrival.
 struct reported_load {
+    /// Requests without an event yet.
     const std::uint32_t waiting;
     const std::uint32_t running;
     /// Tokens in memory that can't be evicted.
--- a/src/relay/request_chart.cpp
+++ b/src/relay/request_chart.cpp
@@ -5,20 +5,25 @@
 const chart::vocabulary& request_vocabulary()
 {
     static const chart::vocabulary words{
-        {"caller_left", "time_up", "target_found", "target_missing", "quarantine_found",
-         "targets_held", "candidates_found", "load_heard", "survey_ended", "placement_due",
-         "attempt_rejected", "attempt_lost", "answer_arrived", "stream_begun", "events_arrived",
-         "stream_finished", "silence_noticed", "target_alive", "target_mute"},
+        {"caller_left",        "time_up",          "target_found",
+         "target_missing",     "quarantine_found", "targets_held",
+         "candidates_found",   "load_heard",       "survey_ended",
+         "candidate_accepted", "candidates_lost",  "room_missing",
+         "engines_overloaded", "placement_due",    "attempt_rejected",
+         "attempt_lost",       "answer_arrived",   "stream_begun",
+         "events_arrived",     "stream_finished",  "silence_noticed",
+         "target_alive",       "target_mute"},
         {"answer_begun", "may_have_run", "may_wait", "may_offer_again", "may_go_on",
-         "replaces_failure", "may_ask", "events_seen", "candidates_left", "candidate_lives"},
-        {"seek_target",     "release_attempt",    "ask_candidates", "choose_candidate",
+         "replaces_failure", "may_ask", "events_seen", "candidates_left"},
+        {"seek_target",     "release_attempt",    "ask_candidates", "weigh_candidates",
          "note_survey",     "open_attempt",       "close_attempt",  "ask_target",
          "deliver_events",  "deliver_answer",     "finish_answer",  "cut_answer",
          "fail_late",       "fail_lost",          "refuse_late",    "refuse_unplaced",
-         "refuse_rejected", "refuse_quarantined", "refuse_held",    "note_rejection",
-         "note_loss",       "note_failure",       "note_silence",   "note_caller_left"},
+         "refuse_rejected", "refuse_quarantined", "refuse_held",    "refuse_overloaded",
+         "note_rejection",  "note_loss",          "note_failure",   "note_silence",
+         "note_caller_left"},
         {"answer_limit", "placement_pause", "survey_limit", "first_answer_limit", "pause_limit",
-         "question_limit"}};
+         "question_limit", "room_pause"}};
     return words;
 }
 
--- a/src/relay/request_chart.hpp
+++ b/src/relay/request_chart.hpp
@@ -15,6 +15,10 @@
     candidates_found,
     load_heard,
     survey_ended,
+    candidate_accepted,
+    candidates_lost,
+    room_missing,
+    engines_overloaded,
     placement_due,
     attempt_rejected,
     attempt_lost,
@@ -38,7 +42,6 @@
     may_ask,
     events_seen,
     candidates_left,
-    candidate_lives,
 };
 
 /// Actions of the chart `relayed_request`.
@@ -46,7 +49,7 @@
     seek_target,
     release_attempt,
     ask_candidates,
-    choose_candidate,
+    weigh_candidates,
     note_survey,
     open_attempt,
     close_attempt,
@@ -62,6 +65,7 @@
     refuse_rejected,
     refuse_quarantined,
     refuse_held,
+    refuse_overloaded,
     note_rejection,
     note_loss,
     note_failure,
@@ -77,6 +81,7 @@
     first_answer_limit,
     pause_limit,
     question_limit,
+    room_pause,
 };
 
 /// @return the events, guards, actions and timeouts of the chart `relayed_request`
--- a/src/relay/target_directory.cpp
+++ b/src/relay/target_directory.cpp
@@ -351,6 +351,12 @@
     adjust_copies(placed.standby, -1);
 }
 
+local_work target_directory::work_on(const core::target_name& target) const
+{
+    const auto found = targets_.find(target);
+    return found == targets_.end() ? local_work{} : found->second.work;
+}
+
 void target_directory::on_loss(const core::target_name& target, core::instant now)
 {
     if (known_target* known = find(target); known != nullptr) {
--- a/tests/relay/test_fixture.hpp
+++ b/tests/relay/test_fixture.hpp
@@ -10,6 +10,7 @@
 
 #include "chart/library.hpp"
 #include "core/clock.hpp"
+#include "limits/on_time_start.hpp"
 #include "relay/least_work_chooser.hpp"
 #include "relay/relay_manager.hpp"
 
@@ -28,6 +29,7 @@
                     .retries = retries},
           manager_{settings_, load_charts(),
                    std::make_unique<relay::least_work_chooser>(settings_.placement),
+                   [] { return std::make_unique<limits::on_time_start>(); },
                    static_cast<relay::relay_host&>(*this)}
     {
         manager_.start(clock_.now());
