--- a/src/http/completion_codec.cpp
+++ b/src/http/completion_codec.cpp
@@ -4,6 +4,7 @@
 
 #include "core/text.hpp"
 #include "http/operator_codec.hpp"
+#include "json/fields.hpp"
 #include "json/schema.hpp"
 
 namespace cyclamen::http {
@@ -138,11 +139,8 @@
 
 std::uint64_t decode_attempts(std::string_view data)
 {
-    const document body = document::parse(data, nullptr, false);
-    if (body.is_object() && body.contains("usage") && body["usage"].is_object()) {
-        return body["usage"].value("attempts", std::uint64_t{0});
-    }
-    return 0;
+    const document body = json::parse_or_null(data);
+    return json::count_at(json::member_of(body, "usage"), "attempts").value_or(0);
 }
 
 std::string encode_final_chunk(completion_form form, std::string_view model, const usage& used)
@@ -235,10 +233,13 @@
 
 absl::StatusOr<std::string> decode_chunk(std::string_view data)
 {
-    const document body = document::parse(data, nullptr, false);
-    if (body.is_object() && body.contains("choices") && body["choices"].is_array() &&
-        !body["choices"].empty() && body["choices"][0].is_object()) {
-        return body["choices"][0].value("text", std::string{});
+    const document body = json::parse_or_null(data);
+    const document& choices = json::member_of(body, "choices");
+    if (choices.is_array() && !choices.empty() && choices[0].is_object()) {
+        const document& text = json::member_of(choices[0], "text");
+        if (text.is_null() || text.is_string()) {
+            return json::text_at(choices[0], "text");
+        }
     }
     return core::make_error(core::error_kind::invalid_argument, "event is not a completion chunk",
                             "check that the target speaks the completions protocol");
--- a/src/http/status_codec.cpp
+++ b/src/http/status_codec.cpp
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include "core/error.hpp"
+#include "json/fields.hpp"
 
 namespace cyclamen::http {
 
@@ -37,7 +38,7 @@
 absl::StatusOr<api::target_load_report> decode_load(std::string_view body,
                                                     const core::target_name& target)
 {
-    const document parsed = document::parse(body, nullptr, false);
+    const document parsed = json::parse_or_null(body);
     if (!parsed.is_object()) {
         return unreadable("load report");
     }
@@ -70,7 +71,7 @@
 absl::StatusOr<std::vector<api::target_cache_change>>
 decode_cache_events(std::string_view body, const core::target_name& target)
 {
-    const document parsed = document::parse(body, nullptr, false);
+    const document parsed = json::parse_or_null(body);
     if (!parsed.is_object() || !parsed.contains("events")) {
         return unreadable("list of cache events");
     }
--- a/src/json/schema.cpp
+++ b/src/json/schema.cpp
@@ -25,10 +25,40 @@
     return pointer.empty() ? "/" : pointer;
 }
 
+/// Documents are copied, written and destroyed recursively.
+constexpr std::size_t max_depth = 100;
+
+bool is_nested_too_deeply(std::string_view text)
+{
+    std::size_t depth = 0;
+    bool in_string = false;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        const char character = text[i];
+        if (in_string && character == '\\') {
+            ++i;
+        }
+        else if (character == '"') {
+            in_string = !in_string;
+        }
+        else if (!in_string && (character == '[' || character == '{') && ++depth > max_depth) {
+            return true;
+        }
+        else if (!in_string && (character == ']' || character == '}') && depth > 0) {
+            --depth;
+        }
+    }
+    return false;
+}
+
 } // namespace
 
 absl::StatusOr<nlohmann::json> parse(std::string_view text, std::string_view source)
 {
+    if (is_nested_too_deeply(text)) {
+        return core::make_error(core::error_kind::invalid_argument,
+                                core::concat(source, ": nested more than ", max_depth, " deep"),
+                                "use fewer nested lists and objects");
+    }
     try {
         return nlohmann::json::parse(text);
     }
@@ -37,6 +67,11 @@
                                 core::concat(source, ": JSON syntax error at byte ", error.byte),
                                 "correct the syntax");
     }
+    catch (const nlohmann::json::out_of_range&) {
+        return core::make_error(core::error_kind::invalid_argument,
+                                core::concat(source, ": a number is out of range"),
+                                "use numbers that fit into a double");
+    }
 }
 
 std::vector<validation_error> validate(const nlohmann::json& document, const nlohmann::json& schema)
--- a/src/json/schema.hpp
+++ b/src/json/schema.hpp
@@ -22,7 +22,8 @@
 /// Parses JSON text.
 /// @param text JSON document
 /// @param source file name or other origin, for the error message
-/// @return the document, or invalid_argument with the byte position of the syntax error
+/// @return the document; invalid_argument with the byte position of a syntax error, or if a number
+///         is out of range or the text is nested too deeply
 [[nodiscard]] absl::StatusOr<nlohmann::json> parse(std::string_view text, std::string_view source);
 
 /// Validates a document against a JSON schema.
--- a/tests/http/codec_test.cpp
+++ b/tests/http/codec_test.cpp
@@ -79,3 +79,28 @@
     }
     RC_ASSERT(received == texts);
 }
+
+BOOST_AUTO_TEST_CASE(odd_request_bodies_are_refused_and_do_not_end_the_process)
+{
+    const std::string nested = std::string(200'000, '[') + std::string(200'000, ']');
+    for (const std::string& odd :
+         {std::string{"1e999"}, std::string{"-1e999"}, std::string{"18446744073709551616"},
+          std::string{"-1"}, nested, "{\"a\":" + nested + "}"}) {
+        BOOST_TEST(!decode(R"({"model":"m","prompt":"p","max_tokens":)" + odd + "}").ok());
+        BOOST_TEST(!decode(R"({"model":"m","prompt":)" + odd + "}").ok());
+        BOOST_TEST(!decode(odd).ok());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(odd_events_of_an_engine_are_errors_and_do_not_end_the_process)
+{
+    const std::string nested = std::string(200'000, '[') + std::string(200'000, ']');
+    for (const std::string& odd :
+         {std::string{"5"}, std::string{"{}"}, std::string{"1e999"}, nested}) {
+        BOOST_TEST(!http::decode_chunk(R"({"choices":[{"text":)" + odd + "}]}").ok());
+        BOOST_TEST(!http::decode_chunk(R"({"choices":)" + odd + "}").ok());
+        BOOST_TEST(http::decode_attempts(R"({"usage":{"attempts":)" + odd + "}}") <= 5U);
+        BOOST_TEST(http::decode_attempts(R"({"usage":)" + odd + "}") == 0U);
+    }
+    BOOST_TEST(http::decode_chunk(R"({"choices":[{"text":"t"}]})").value() == "t");
+}
--- a/tests/json/schema_test.cpp
+++ b/tests/json/schema_test.cpp
@@ -22,3 +22,19 @@
     BOOST_TEST(!parsed.ok());
     BOOST_TEST(std::string{parsed.status().message()}.find("byte 6") != std::string::npos);
 }
+
+BOOST_AUTO_TEST_CASE(number_beyond_the_range_of_a_double_is_reported)
+{
+    const auto parsed = json::parse(R"({"max_tokens": 1e999})", "request body");
+    BOOST_REQUIRE(!parsed.ok());
+    BOOST_TEST(std::string{parsed.status().message()}.starts_with("request body: "));
+}
+
+BOOST_AUTO_TEST_CASE(deeply_nested_document_is_reported)
+{
+    constexpr std::size_t depth = 200'000;
+    const auto parsed =
+        json::parse(std::string(depth, '[') + std::string(depth, ']'), "request body");
+    BOOST_REQUIRE(!parsed.ok());
+    BOOST_TEST(std::string{parsed.status().message()}.starts_with("request body: "));
+}
