A stream that has begun goes on only with the events that follow

Report of other operators: a stream broke off, the next target answered with an error, and callers found its bytes in their stream, or a complete end. The error's text couldn't reach the stream here, but two faults of the same class are shown: - a target that ignores where the stream goes on and starts at its first event: all its events were delivered again (ORDER). tests/platform/instance_test failed before with events 1, 2, ... after event 20. - an answer that isn't a stream ended the caller's stream at once, though runs were left. Tests: relay/stream_test over eight statuses, platform/instance_test reads the caller's raw bytes under five faults.

--- a/src/http/event_splitter.cpp
+++ b/src/http/event_splitter.cpp
@@ -31,18 +31,22 @@
     return complete;
 }
 
-std::string_view last_event_id(std::string_view events)
+namespace {
+
+constexpr std::string_view id_field = "id:";
+
+bool starts_line(std::string_view text, std::size_t position)
 {
-    constexpr std::string_view field = "id:";
-    std::size_t found = events.rfind(field);
-    while (found != std::string_view::npos && found > 0 && events[found - 1] != '\n' &&
-           events[found - 1] != '\r') {
-        found = events.rfind(field, found - 1);
-    }
-    if (found == std::string_view::npos) {
+    return position == 0 || text[position - 1] == '\n' || text[position - 1] == '\r';
+}
+
+/// @param position where an id field starts, npos if there is none
+std::string_view id_at(std::string_view events, std::size_t position)
+{
+    if (position == std::string_view::npos) {
         return {};
     }
-    std::string_view value = events.substr(found + field.size());
+    std::string_view value = events.substr(position + id_field.size());
     value = value.substr(0, value.find_first_of("\r\n"));
     if (value.starts_with(' ')) {
         value.remove_prefix(1);
@@ -50,4 +54,24 @@
     return value;
 }
 
+} // namespace
+
+std::string_view first_event_id(std::string_view events)
+{
+    std::size_t found = events.find(id_field);
+    while (found != std::string_view::npos && !starts_line(events, found)) {
+        found = events.find(id_field, found + 1);
+    }
+    return id_at(events, found);
+}
+
+std::string_view last_event_id(std::string_view events)
+{
+    std::size_t found = events.rfind(id_field);
+    while (found != std::string_view::npos && !starts_line(events, found)) {
+        found = events.rfind(id_field, found - 1);
+    }
+    return id_at(events, found);
+}
+
 } // namespace cyclamen::http
--- a/src/http/event_splitter.hpp
+++ b/src/http/event_splitter.hpp
@@ -27,6 +27,10 @@
     std::string pending_;
 };
 
+/// @param events complete events
+/// @return the id of the first event that has one, empty if none has
+[[nodiscard]] std::string_view first_event_id(std::string_view events);
+
 /// @param events complete events
 /// @return the id of the last event that has one, empty if none has
 [[nodiscard]] std::string_view last_event_id(std::string_view events);
--- a/src/relay/relayed_request.cpp
+++ b/src/relay/relayed_request.cpp
@@ -267,8 +267,9 @@
         return is_idempotent() && runs_ < plan_.matched_route.max_runs &&
                host_.may_retry(plan_.service) && !is_quarantined();
     case request_guard::replaces_failure:
-        return received_answer_->get().head.status >= first_failure_status && is_idempotent() &&
-               !answer_begun_ && runs_ < plan_.matched_route.max_runs &&
+        // A stream that has begun can only go on as a stream, whatever else a target answers.
+        return (answer_begun_ || received_answer_->get().head.status >= first_failure_status) &&
+               is_idempotent() && runs_ < plan_.matched_route.max_runs &&
                host_.may_retry(plan_.service);
     case request_guard::may_ask:
         return plan_.engine.has_value();
--- a/src/standin/runner_task.cpp
+++ b/src/standin/runner_task.cpp
@@ -283,7 +283,9 @@
     auto new_run = std::make_unique<active_run>(active_run{
         exchange, request, std::string{request.find_header(id_field)}, answer_seed(request)});
     active_run& run = *runs_.emplace(exchange, std::move(new_run)).first->second;
-    run.next_event = to_number(request.find_header("last-event-id")) + 1;
+    run.next_event = fault_ == runner_fault::restarting
+                         ? 1
+                         : to_number(request.find_header("last-event-id")) + 1;
     report_event(runner_report::event::began, run);
     const bool streams = !request.find_header("x-cyclamencourse-token-counts").empty();
     run.timer = loop().run_after(settings_.work_time, [this, &run, streams] {
--- a/src/standin/runner_task.hpp
+++ b/src/standin/runner_task.hpp
@@ -62,6 +62,8 @@
     losing,
     /// Answers are cut off before their end.
     cutting,
+    /// Streams start at their first event, whatever the request says.
+    restarting,
     /// Answers carry the id of another request.
     mixing,
     /// Answers are not valid HTTP.
--- a/tests/http/event_splitter_test.cpp
+++ b/tests/http/event_splitter_test.cpp
@@ -54,3 +54,11 @@
     }
     BOOST_TEST(splitter.is_too_long());
 }
+
+BOOST_AUTO_TEST_CASE(ids_of_the_first_and_the_last_event_are_found_at_line_starts_only)
+{
+    constexpr std::string_view events = "data: id: 9\nid: 4\n\ndata: x\n\nid:5\ndata: id: 7\n\n";
+    BOOST_TEST(http::first_event_id(events) == "4");
+    BOOST_TEST(http::last_event_id(events) == "5");
+    BOOST_TEST(http::first_event_id("data: id: 9\n\n").empty());
+}
--- a/tests/platform/instance_test.cpp
+++ b/tests/platform/instance_test.cpp
@@ -11,6 +11,7 @@
 #include "standin/row_store_task.hpp"
 #include "standin/runner_task.hpp"
 #include "support/ports.hpp"
+#include "support/raw_exchange.hpp"
 #include "task/channel.hpp"
 
 using namespace cyclamen;
@@ -41,6 +42,18 @@
         return events;
     }
 
+    /// @return name of the target of a request's first attempt, empty if there was none
+    std::string first_target_of(const std::string& request)
+    {
+        const std::string logged = text_.str();
+        const std::size_t opened = logged.find("event=attempt_opened request=" + request);
+        if (opened == std::string::npos) {
+            return {};
+        }
+        const std::size_t start = logged.find("target=", opened) + 7;
+        return logged.substr(start, logged.find(' ', start) - start);
+    }
+
     /// @return true if the text was logged
     [[nodiscard]] bool contains(std::string_view text) const { return count(text) > 0; }
 
@@ -103,6 +116,9 @@
         return result.ok() ? *result : http::request_result{{}, 0, "", "cut"};
     }
 
+    /// @return all bytes that follow on a request's bytes until the connection is closed
+    std::string send_raw(const std::string& bytes) { return test::exchange_raw(entry_, bytes); }
+
     /// Injects a fault into all runners whose name starts with the prefix.
     void inject_fault(const std::string& prefix, runner_fault fault)
     {
@@ -344,3 +360,41 @@
     std::this_thread::sleep_for(500ms);
     BOOST_TEST(fixture.send("call-9", "/u/x", false).status == status_ok);
 }
+
+BOOST_AUTO_TEST_CASE(a_stream_whose_next_targets_fail_is_cut_and_has_none_of_their_bytes)
+{
+    for (const runner_fault fault :
+         {runner_fault::failing, runner_fault::shedding, runner_fault::mixing,
+          runner_fault::restarting, runner_fault::losing}) {
+        captured_log log;
+        platform_fixture fixture;
+        std::thread saboteur{[&] {
+            std::this_thread::sleep_for(400ms);
+            const std::string running = log.first_target_of("stream-1");
+            for (const std::string name : {"engine-0", "engine-1", "engine-2"}) {
+                if (name != running) {
+                    fixture.inject_fault(name, fault);
+                }
+            }
+            fixture.inject_fault(running, runner_fault::killed);
+        }};
+        const std::string received = fixture.send_raw(
+            "POST /s/x HTTP/1.1\r\nHost: test.example\r\nX-Cyclamencourse-Request-Id: stream-1\r\n"
+            "X-Cyclamencourse-Deadline-Ms: 5000\r\nX-Cyclamencourse-Token-Counts: 100,600\r\n"
+            "X-Cyclamencourse-Prompt-Prefix: part-1:100\r\nContent-Length: 4\r\n\r\nbody");
+        saboteur.join();
+        const std::string what = "fault " + std::to_string(static_cast<int>(fault));
+        BOOST_TEST(received.starts_with("HTTP/1.1 200"), what);
+        BOOST_TEST(received.rfind("HTTP/1.") == 0U, what);
+        BOOST_TEST(received.find("failed") == std::string::npos, what);
+        BOOST_TEST(!received.ends_with("0\r\n\r\n"), what);
+        std::uint64_t next = 1;
+        for (std::size_t at = received.find("\nid: "); at != std::string::npos;
+             at = received.find("\nid: ", at + 1)) {
+            BOOST_TEST(std::stoull(received.substr(at + 5)) == next++, what);
+        }
+        BOOST_TEST(next > 1U, what);
+        BOOST_TEST(next <= 60U, what);
+        BOOST_TEST(log.contains("outcome=cut"), what);
+    }
+}
--- a/tests/relay/stream_test.cpp
+++ b/tests/relay/stream_test.cpp
@@ -326,3 +326,32 @@
     fixture.handle(relay::stream_finished{fixture.last_attempt().attempt});
     BOOST_TEST(relay_fixture::count<relay::free_copy>(fixture.to_targets) == 0U);
 }
+
+BOOST_AUTO_TEST_CASE(an_error_of_the_next_target_never_reaches_a_stream_that_has_begun)
+{
+    for (const int status : {200, 204, 302, 400, 404, 429, 500, 503}) {
+        relay_fixture fixture;
+        fixture.submit(1);
+        fixture.stream_to(3);
+        fixture.lose_attempt();
+        fixture.advance(100ms);
+        const std::size_t events = relay_fixture::count<relay::answer_events>(fixture.to_entries);
+        fixture.handle(relay::attempt_answered{fixture.last_attempt().attempt,
+                                               relay::answer_head{status, {{"seal", "s"}}},
+                                               "an error text"});
+        fixture.advance(100ms);
+        // A third target goes on after the last event that the caller has.
+        BOOST_TEST(fixture.last_attempt().attempt.number.value() == 3U, "status " << status);
+        BOOST_TEST(fixture.last_attempt().last_event.value_or("") == "3");
+        BOOST_TEST(relay_fixture::count<relay::answer_events>(fixture.to_entries) == events);
+        BOOST_TEST(relay_fixture::count<relay::complete_answer>(fixture.to_entries) == 0U);
+        fixture.handle(relay::attempt_answered{fixture.last_attempt().attempt,
+                                               relay::answer_head{status, {{"seal", "s"}}},
+                                               "an error text"});
+        // No run is left: the caller sees that the stream is not complete.
+        BOOST_TEST(relay_fixture::count<relay::answer_cut>(fixture.to_entries) == 1U);
+        BOOST_TEST(relay_fixture::count<relay::answer_finished>(fixture.to_entries) == 0U);
+        BOOST_TEST(relay_fixture::count<relay::complete_answer>(fixture.to_entries) == 0U);
+        BOOST_TEST(relay_fixture::count<relay::answer_refused>(fixture.to_entries) == 0U);
+    }
+}
