A planned stop answers requests that are on their way

Shown here by tests/http/server_test, seen failing on the code before (3 of 4 requests without an answer): connections that waited to be accepted were reset with the listening socket; a kept connection was closed though a request lay in the socket's buffer; and the process ended by the count of its requests alone, whatever callers' connections still had to send or to read. Change: the backlog is accepted before the socket is closed, connections with bytes on their way stay, new ones may send their first request for 250 ms, and the process ends only once no connection is busy (message entry_state), or at the limit.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -1,5 +1,6 @@
 #include "http/server.hpp"
 
+#include <algorithm>
 #include <map>
 #include <optional>
 
@@ -19,6 +20,9 @@
 constexpr int status_not_modified = 304;
 constexpr int first_final_status = 200;
 
+/// Time in which the first request of a new connection is expected while the server closes.
+constexpr core::duration first_request_time = std::chrono::milliseconds{250};
+
 /// How often the time limits of connections are checked.
 constexpr core::duration timeout_check_interval = std::chrono::seconds{1};
 
@@ -83,14 +87,31 @@
         if (acceptor_ == nullptr) {
             return;
         }
+        if (!closing_) {
+            acceptor_->accept_pending();
+        }
         acceptor_.reset();
         for (auto it = connections_.begin(); it != connections_.end();) {
-            // A request that is being received or answered is completed.
-            const bool idle = it->second->is_idle();
-            it = idle ? connections_.erase(it) : std::next(it);
+            // A request that is on its way or being answered is completed.
+            const connection& checked = *it->second;
+            const bool ends =
+                checked.is_idle() && checked.was_used && !checked.stream.has_unread_bytes();
+            it = ends ? connections_.erase(it) : std::next(it);
         }
     }
 
+    [[nodiscard]] std::size_t busy_connections() const
+    {
+        const core::instant now = loop_.now();
+        return static_cast<std::size_t>(
+            std::count_if(connections_.begin(), connections_.end(), [&](const auto& entry) {
+                const connection& checked = *entry.second;
+                const bool awaits_first =
+                    !checked.was_used && now - checked.waiting_since < first_request_time;
+                return !checked.is_idle() || awaits_first || checked.stream.unsent() > 0;
+            }));
+    }
+
     void send_head(exchange_id id, const response_head& head)
     {
         connection* found = find(id);
@@ -164,6 +185,8 @@
         bool accepts_chunked = true;
         bool keep_alive = true;
         bool continue_sent = false;
+        /// A request was received on the connection.
+        bool was_used = false;
         /// Closes the connection as soon as all output is written.
         bool close_when_sent = false;
 
@@ -245,6 +268,7 @@
         last_exchange_ = last_exchange_.next();
         const exchange_id id = last_exchange_;
         peer.exchange = id;
+        peer.was_used = true;
         peer.head_sent = false;
         peer.chunked = false;
         peer.continue_sent = false;
@@ -416,6 +440,11 @@
     implementation_->stop_accepting();
 }
 
+std::size_t server::busy_connections() const
+{
+    return implementation_->busy_connections();
+}
+
 std::size_t server::open_exchanges() const
 {
     return implementation_->open_exchanges();
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -84,9 +84,14 @@
     /// it.
     void disable_keep_alive();
 
-    /// Stops accepting connections and closes idle ones.
+    /// Stops accepting connections, after those that are waiting to be accepted, and closes idle
+    /// ones. Connections on which a request is on its way stay open.
     void stop_accepting();
 
+    /// @return number of connections with a request that is being received or answered, with unsent
+    ///         bytes, or so new that their first request is still expected
+    [[nodiscard]] std::size_t busy_connections() const;
+
     /// @return number of open exchanges
     [[nodiscard]] std::size_t open_exchanges() const;
 
--- a/src/http/tcp_acceptor.cpp
+++ b/src/http/tcp_acceptor.cpp
@@ -87,16 +87,27 @@
     if (error != nullptr) {
         return;
     }
-    for (int accepted = 0; accepted < max_accepts_per_round; ++accepted) {
-        errno = 0;
-        h2o_socket_t* connection = h2o_evloop_socket_accept(socket);
-        if (connection == nullptr) {
-            if (errno == EMFILE || errno == ENFILE || errno == ENOMEM) {
-                self->pause();
-            }
-            return;
+    for (int accepted = 0; accepted < max_accepts_per_round && self->accept_one(); ++accepted) {
+    }
+}
+
+bool tcp_acceptor::accept_one()
+{
+    errno = 0;
+    h2o_socket_t* connection = h2o_evloop_socket_accept(socket_);
+    if (connection == nullptr) {
+        if (errno == EMFILE || errno == ENFILE || errno == ENOMEM) {
+            pause();
         }
-        self->listener_.on_accepted(connection);
+        return false;
+    }
+    listener_.on_accepted(connection);
+    return true;
+}
+
+void tcp_acceptor::accept_pending()
+{
+    for (int accepted = 0; accepted < listen_backlog && accept_one(); ++accepted) {
     }
 }
 
--- a/src/http/tcp_acceptor.hpp
+++ b/src/http/tcp_acceptor.hpp
@@ -33,7 +33,10 @@
     listen(task::event_loop& loop, const core::socket_address& address,
            acceptor_listener& listener);
 
-    /// Stops listening.
+    /// Accepts all connections that are waiting to be accepted.
+    void accept_pending();
+
+    /// Stops listening; connections that are waiting to be accepted are reset.
     ~tcp_acceptor();
     tcp_acceptor(const tcp_acceptor&) = delete;
     tcp_acceptor& operator=(const tcp_acceptor&) = delete;
@@ -46,6 +49,8 @@
 
     tcp_acceptor(task::event_loop& loop, int descriptor, acceptor_listener& listener);
     void pause();
+    /// @return false if no connection was waiting
+    bool accept_one();
 
     static void on_readable(st_h2o_socket_t* socket, const char* error);
 };
--- a/src/http/tcp_stream.cpp
+++ b/src/http/tcp_stream.cpp
@@ -85,6 +85,12 @@
     }
 }
 
+bool tcp_stream::has_unread_bytes() const
+{
+    char byte = 0;
+    return ::recv(h2o_socket_get_fd(socket_), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 std::string_view tcp_stream::input() const
 {
     return {socket_->input->bytes, socket_->input->size};
--- a/src/http/tcp_stream.hpp
+++ b/src/http/tcp_stream.hpp
@@ -73,6 +73,9 @@
     /// @return number of bytes not yet handed to the operating system
     [[nodiscard]] std::size_t unsent() const { return state_->in_flight.size() + pending_.size(); }
 
+    /// @return true if the operating system holds bytes that were received but not read yet
+    [[nodiscard]] bool has_unread_bytes() const;
+
     /// @return bytes received but not consumed
     [[nodiscard]] std::string_view input() const;
 
--- a/src/relay/messages.hpp
+++ b/src/relay/messages.hpp
@@ -90,6 +90,13 @@
     auto operator<=>(const caller_gone&) const = default;
 };
 
+/// Whether callers' connections still have requests or answers on their way, after entry_closing.
+struct entry_state {
+    const bool busy;
+
+    auto operator<=>(const entry_state&) const = default;
+};
+
 /// Requests the current counters and histograms.
 struct metrics_query {
     const caller_id caller;
@@ -370,7 +377,7 @@
 
 /// Messages to the decision task.
 using relay_message =
-    std::variant<submission, caller_gone, metrics_query, stream_begun, stream_events,
+    std::variant<submission, caller_gone, entry_state, metrics_query, stream_begun, stream_events,
                  stream_finished, attempt_answered, attempt_rejected, attempt_lost, run_copied,
                  target_notice, target_answered, target_identified, instance_answered,
                  configuration_read, configuration_confirmed, targets_listed, members_listed,
--- a/src/relay/relay_manager.cpp
+++ b/src/relay/relay_manager.cpp
@@ -429,14 +429,20 @@
     }
 }
 
+void relay_manager::on(const entry_state& report)
+{
+    entry_busy_ = report.busy;
+}
+
 void relay_manager::refuse_connections()
 {
+    entry_busy_ = true;
     host_.send(entry_closing{true});
 }
 
 bool relay_manager::has_work() const
 {
-    return !requests_.empty();
+    return !requests_.empty() || entry_busy_;
 }
 
 void relay_manager::end_process(bool work_cut)
--- a/src/relay/relay_manager.hpp
+++ b/src/relay/relay_manager.hpp
@@ -72,6 +72,8 @@
     limits::engine_admission admission_;
     relay_metrics metrics_;
     entry_lifecycle lifecycle_;
+    /// Callers' connections have requests or answers on their way; known only while leaving.
+    bool entry_busy_ = false;
     core::instant now_;
     route_table_ptr table_;
     std::optional<core::cell<configuration_confirmed>> confirmation_;
@@ -90,6 +92,7 @@
 
     void on(const submission& submitted);
     void on(const caller_gone& notice);
+    void on(const entry_state& report);
     void on(const metrics_query& query);
     void on(const configuration_read& update);
     void on(const configuration_confirmed& confirmation);
--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -94,3 +94,113 @@
     }
     loop.close();
 }
+
+namespace {
+
+constexpr std::string_view get_request = "GET / HTTP/1.1\r\nhost: x\r\n\r\n";
+
+/// Answers every request at once.
+class answering_handler final : public http::server_handler {
+  public:
+    void on_request(http::exchange_id exchange, const http::request& /*received*/) override
+    {
+        ++requests;
+        server->respond(exchange, http::response_head{200, {}}, "whole");
+    }
+    void on_disconnect(http::exchange_id /*exchange*/) override {}
+
+    http::server* server = nullptr;
+    int requests = 0;
+};
+
+void send_request(int fd)
+{
+    BOOST_REQUIRE(::write(fd, get_request.data(), get_request.size()) ==
+                  static_cast<ssize_t>(get_request.size()));
+}
+
+std::string receive(int fd)
+{
+    std::string received(4096, ' ');
+    const ssize_t size = ::recv(fd, received.data(), received.size(), MSG_DONTWAIT);
+    received.resize(static_cast<std::size_t>(std::max<ssize_t>(size, 0)));
+    return received;
+}
+
+void run(task::event_loop& loop, int rounds)
+{
+    for (int i = 0; i < rounds; ++i) {
+        loop.run_once(std::chrono::milliseconds{5});
+    }
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(requests_on_their_way_are_answered_when_the_server_stops_accepting)
+{
+    task::event_loop loop;
+    loop.open();
+    answering_handler handler;
+    const core::socket_address address = test::free_address();
+    auto listening = http::server::listen(loop, address, http::server_settings{}, handler);
+    BOOST_REQUIRE(listening.ok());
+    handler.server = listening->get();
+    const int kept = connect_to(address);
+    const int unused = connect_to(address);
+    send_request(kept);
+    run(loop, 5);
+    BOOST_TEST(receive(kept).ends_with("whole"));
+    // One request arrives on a kept connection, one on a connection that waits to be accepted, and
+    // one a little later on a connection that was accepted before.
+    const int waiting = connect_to(address);
+    send_request(kept);
+    send_request(waiting);
+    (*listening)->stop_accepting();
+    BOOST_TEST((*listening)->busy_connections() > 0U);
+    run(loop, 5);
+    send_request(unused);
+    run(loop, 5);
+    for (const int fd : {kept, waiting, unused}) {
+        const std::string answer = receive(fd);
+        BOOST_TEST(answer.ends_with("whole"));
+        BOOST_TEST(answer.find("connection: close") != std::string::npos);
+        ::close(fd);
+    }
+    BOOST_TEST(handler.requests == 4);
+    BOOST_TEST((*listening)->busy_connections() == 0U);
+    listening->reset();
+    loop.close();
+}
+
+BOOST_AUTO_TEST_CASE(a_server_that_stops_accepting_is_busy_until_answers_are_sent)
+{
+    task::event_loop loop;
+    loop.open();
+    counting_handler handler;
+    const core::socket_address address = test::free_address();
+    auto listening = http::server::listen(loop, address, http::server_settings{}, handler);
+    BOOST_REQUIRE(listening.ok());
+    const int fd = connect_to(address);
+    send_request(fd);
+    run(loop, 5);
+    (*listening)->stop_accepting();
+    BOOST_TEST((*listening)->busy_connections() == 1U);
+    // More than the socket buffers hold; the caller reads late.
+    const std::string body(16 * 1024 * 1024, 'x');
+    (*listening)->respond(handler.last, http::response_head{200, {}}, body);
+    run(loop, 5);
+    BOOST_TEST((*listening)->busy_connections() == 1U);
+    std::size_t received = 0;
+    for (int i = 0; i < 5000 && received < body.size(); ++i) {
+        loop.run_once(std::chrono::milliseconds{1});
+        std::string part(1024 * 1024, ' ');
+        const ssize_t size = ::recv(fd, part.data(), part.size(), MSG_DONTWAIT);
+        received += static_cast<std::size_t>(std::max<ssize_t>(size, 0));
+    }
+    run(loop, 5);
+    BOOST_TEST(received > body.size());
+    BOOST_TEST((*listening)->busy_connections() == 0U);
+    ::close(fd);
+    listening->reset();
+    loop.close();
+}
--- a/tests/relay/refusal_test.cpp
+++ b/tests/relay/refusal_test.cpp
@@ -128,3 +128,16 @@
     fixture.advance(300ms);
     BOOST_TEST(fixture.ended);
 }
+
+BOOST_AUTO_TEST_CASE(
+    leaving_instance_does_not_end_while_callers_have_requests_or_answers_on_their_way)
+{
+    relay_fixture fixture;
+    fixture.entry_busy = true;
+    fixture.handle(relay::stop_requested{});
+    fixture.advance(3s);
+    BOOST_TEST(!fixture.ended);
+    fixture.handle(relay::entry_state{false});
+    fixture.advance(300ms);
+    BOOST_TEST(fixture.ended);
+}
--- a/tests/relay/test_fixture.hpp
+++ b/tests/relay/test_fixture.hpp
@@ -190,6 +190,8 @@
     std::vector<std::unique_ptr<relay::target_command>> to_targets;
     std::vector<std::unique_ptr<relay::store_command>> to_store;
     bool ended = false;
+    /// Whether connections of callers are busy while the instance leaves.
+    bool entry_busy = false;
     /// Whether targets answer load queries, and those that never do.
     bool targets_answer = true;
     std::set<std::string> unresponsive_targets;
@@ -197,9 +199,13 @@
 
   private:
     std::size_t answered_ = 0;
+    int entry_reports_due_ = 0;
 
     void answer_load_queries()
     {
+        for (; entry_reports_due_ > 0; --entry_reports_due_) {
+            manager_.handle(relay::entry_state{entry_busy}, clock_.now());
+        }
         while (targets_answer && answered_ < to_targets.size()) {
             const auto* asked = std::get_if<relay::ask_target>(to_targets[answered_].get());
             ++answered_;
@@ -228,6 +234,8 @@
 
     void send(relay::entry_command command) override
     {
+        const auto* closing = std::get_if<relay::entry_closing>(&command);
+        entry_reports_due_ += closing != nullptr && closing->refuses_connections ? 1 : 0;
         to_entries.push_back(std::make_unique<relay::entry_command>(std::move(command)));
     }
     void send(relay::target_command command) override
