A request whose surveys nobody answers is placed without one

Change: each survey that nobody answers doubles the time limit of the next; after three the request is placed by what the instance knows itself. Silence of all that were asked is not held against them: the instance may be the slow one. Test: relay/stream_test, at most 10 queries where the code before sent three every 25 ms.

--- a/src/relay/relay_settings.hpp
+++ b/src/relay/relay_settings.hpp
@@ -30,6 +30,9 @@
     /// Time limit for candidates to report their load: covers one round trip between failure
     /// domains and scheduling delay.
     const core::duration survey_limit = std::chrono::milliseconds{25};
+    /// Surveys without an answer, each with twice the time limit of the one before, after which a
+    /// request is placed without.
+    const std::uint32_t max_unanswered_surveys = 3;
     /// A target that is lost within this time after it began to answer a request may have crashed
     /// because of it.
     const core::duration crash_window = std::chrono::milliseconds{300};
--- a/src/relay/relayed_request.cpp
+++ b/src/relay/relayed_request.cpp
@@ -229,7 +229,7 @@
     case request_timeout::placement_pause:
         return settings_.placement_pause;
     case request_timeout::survey_limit:
-        return settings_.survey_limit;
+        return settings_.survey_limit * (1 << unanswered_surveys_);
     case request_timeout::room_pause:
         return settings_.room_pause;
     case request_timeout::first_answer_limit:
@@ -294,13 +294,7 @@
         weigh_candidates();
         break;
     case request_action::note_survey:
-        for (const auto& [name, each] : pending_candidates_) {
-            tried_.insert(name);
-            host_.on_loss(name);
-        }
-        core::log_event(
-            core::log_level::info, "survey_failed",
-            {{"request", plan_.submitted.content->id}, {"unanswered", pending_candidates_.size()}});
+        note_failed_survey();
         break;
     case request_action::open_attempt:
         start_attempt();
--- a/src/relay/relayed_request.hpp
+++ b/src/relay/relayed_request.hpp
@@ -193,6 +193,10 @@
     std::optional<core::cell<placement>> placed_;
     /// Targets that were asked for their load and have not answered yet.
     std::map<core::target_name, target_record> pending_candidates_;
+    /// Number of targets that the current survey has asked.
+    std::size_t asked_ = 0;
+    /// Surveys that no target answered in time.
+    std::uint32_t unanswered_surveys_ = 0;
     std::map<core::target_name, reported_load> loads_;
     /// The engine of the current attempt when it received the request, if that is new work there.
     std::optional<core::cell<limits::engine_load>> start_load_;
@@ -247,6 +251,7 @@
     [[nodiscard]] placement_query make_query() const;
     void seek_target();
     void ask_candidates();
+    void note_failed_survey();
     void weigh_candidates();
     [[nodiscard]] request_event admit_candidate(const placement& found);
     /// @return the standby, empty if it has no room for a copy
--- a/src/relay/relayed_request_placement.cpp
+++ b/src/relay/relayed_request_placement.cpp
@@ -45,10 +45,12 @@
     }
     rule_known_ = true;
     // No survey if the target is given by its copy, nor for plain services, which report no load.
-    if (plan_.engine.has_value() && !copy_holder_.has_value()) {
+    if (plan_.engine.has_value() && !copy_holder_.has_value() &&
+        unanswered_surveys_ < settings_.max_unanswered_surveys) {
         for (const target_record& each : host_.survey(make_query())) {
             pending_candidates_.emplace(each.name, each);
         }
+        asked_ = pending_candidates_.size();
         follow_up_ =
             pending_candidates_.empty() ? missing_target_event() : request_event::candidates_found;
         return;
@@ -69,6 +71,23 @@
     }
 }
 
+void relayed_request::note_failed_survey()
+{
+    const std::size_t unanswered = pending_candidates_.size();
+    // If all are silent, this instance may be the slow one.
+    const bool all_silent = unanswered == asked_;
+    unanswered_surveys_ += all_silent ? 1 : 0;
+    for (const auto& [name, each] : pending_candidates_) {
+        tried_.insert(name);
+        if (!all_silent) {
+            host_.on_loss(name);
+        }
+    }
+    core::log_event(
+        core::log_level::info, "survey_failed",
+        {{"request", plan_.submitted.content->id}, {"unanswered", unanswered}, {"asked", asked_}});
+}
+
 void relayed_request::weigh_candidates()
 {
     // A candidate may have left, or have asked for no requests, since it was asked for its load.
--- a/tests/relay/stream_test.cpp
+++ b/tests/relay/stream_test.cpp
@@ -355,3 +355,16 @@
         BOOST_TEST(relay_fixture::count<relay::answer_refused>(fixture.to_entries) == 0U);
     }
 }
+
+BOOST_AUTO_TEST_CASE(a_request_whose_surveys_nobody_answers_is_placed_without)
+{
+    relay_fixture fixture;
+    fixture.list_targets(30);
+    fixture.targets_answer = false;
+    fixture.submit(1);
+    fixture.advance(1s);
+    // Three surveys of three targets, for 25, 50 and 100 ms.
+    BOOST_TEST(relay_fixture::count<relay::ask_target>(fixture.to_targets) <= 10U);
+    BOOST_TEST(relay_fixture::count<relay::open_attempt>(fixture.to_targets) == 1U);
+    BOOST_TEST(fixture.open_requests() == 1U);
+}
