--- a/tests/replica/replica_source_test.cpp
+++ b/tests/replica/replica_source_test.cpp
@@ -363,3 +363,19 @@
     BOOST_TEST(!fixture.follows_store());
     BOOST_TEST(fixture.asked.back() == "10.0.0.9:9");
 }
+
+BOOST_AUTO_TEST_CASE(an_instance_whose_readers_change_does_not_read_all_tables)
+{
+    source_fixture fixture{"i-7", {core::socket_address{"10.0.0.9", 9}}};
+    fixture.answer_from_store();
+    fixture.raise(source_event::reader_answered);
+    // The seed is no reader once instances are listed, and the readers don't serve yet.
+    fixture.list_members(20);
+    fixture.raise(source_event::reader_failed);
+    fixture.answer_from_store();
+    BOOST_TEST((fixture.scope == replica::store_scope::first_table));
+    fixture.advance(250ms);
+    BOOST_TEST(fixture.asked.back() != "10.0.0.9:9");
+    fixture.raise(source_event::reader_answered);
+    BOOST_TEST(!fixture.follows_store());
+}
