--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -204,3 +204,41 @@
     listening->reset();
     loop.close();
 }
+
+BOOST_AUTO_TEST_CASE(a_late_second_response_reaches_no_other_request_of_its_connection)
+{
+    task::event_loop loop;
+    loop.open();
+    counting_handler handler;
+    const core::socket_address address = test::free_address();
+    auto listening = http::server::listen(loop, address, http::server_settings{}, handler);
+    BOOST_REQUIRE(listening.ok());
+    const int fd = connect_to(address);
+    send_request(fd);
+    run(loop, 5);
+    const http::exchange_id first = handler.last;
+    // The second request arrives before the first one is answered.
+    send_request(fd);
+    run(loop, 5);
+    BOOST_TEST(handler.requests == 1);
+    const auto respond = [&](http::exchange_id exchange, std::string_view body) {
+        (*listening)->respond(exchange, http::response_head{200, {}}, body);
+        (*listening)->send_head(exchange, http::response_head{200, {}});
+        (*listening)->send(exchange, "late", true);
+        run(loop, 5);
+    };
+    respond(first, "one");
+    BOOST_TEST(handler.requests == 2);
+    respond(first, "one again");
+    respond(handler.last, "two");
+    respond(first, "one again");
+    respond(handler.last, "two again");
+    const std::string received = receive(fd);
+    BOOST_TEST(received.find("one") < received.find("two"));
+    BOOST_TEST(received.find("again") == std::string::npos);
+    BOOST_TEST(received.find("late") == std::string::npos);
+    BOOST_TEST(received.rfind("HTTP/1.1") == received.find("HTTP/1.1", 1));
+    ::close(fd);
+    listening->reset();
+    loop.close();
+}
--- a/tests/relay/stream_test.cpp
+++ b/tests/relay/stream_test.cpp
@@ -368,3 +368,51 @@
     BOOST_TEST(relay_fixture::count<relay::open_attempt>(fixture.to_targets) == 1U);
     BOOST_TEST(fixture.open_requests() == 1U);
 }
+
+BOOST_AUTO_TEST_CASE(a_slow_but_sound_stream_is_not_cut)
+{
+    relay_fixture fixture;
+    fixture.submit(1);
+    for (int event = 1; event <= 6; ++event) {
+        // Far beyond the pause goal; the engine answers when it is asked.
+        fixture.advance(2900ms);
+        fixture.stream_to(event);
+    }
+    fixture.handle(relay::stream_finished{fixture.last_attempt().attempt});
+    BOOST_TEST(relay_fixture::count<relay::open_attempt>(fixture.to_targets) == 1U);
+    BOOST_TEST(relay_fixture::count<relay::answer_finished>(fixture.to_entries) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_stalled_stream_that_sends_a_heartbeat_now_and_then_ends_at_its_time_limit)
+{
+    relay_fixture fixture;
+    fixture.submit(1);
+    fixture.stream_to(1);
+    for (int i = 0; i < 70 && fixture.open_requests() > 0; ++i) {
+        fixture.advance(300ms);
+        if (fixture.open_requests() > 0) {
+            fixture.handle(relay::stream_events{fixture.last_attempt().attempt, ": ping\n\n", "1"});
+        }
+    }
+    BOOST_TEST(fixture.open_requests() == 0U);
+    BOOST_TEST(relay_fixture::count<relay::close_attempt>(fixture.to_targets) == 1U);
+    BOOST_TEST(relay_fixture::count<relay::answer_cut>(fixture.to_entries) == 1U);
+    BOOST_TEST(relay_fixture::count<relay::answer_finished>(fixture.to_entries) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_goes_on_though_the_record_of_its_target_is_missing_for_a_while)
+{
+    relay_fixture fixture;
+    fixture.submit(1);
+    fixture.stream_to(1);
+    const std::string running = fixture.last_attempt().target.str();
+    // The list lost all records in an outage of the store; later they are back.
+    fixture.handle(relay::targets_listed{true, {}, {}});
+    fixture.stream_to(2);
+    fixture.list_targets(3);
+    fixture.stream_to(3);
+    fixture.handle(relay::stream_finished{fixture.last_attempt().attempt});
+    BOOST_TEST(relay_fixture::count<relay::open_attempt>(fixture.to_targets) == 1U);
+    BOOST_TEST(relay_fixture::count<relay::close_attempt>(fixture.to_targets) == 0U);
+    BOOST_TEST(relay_fixture::count<relay::answer_finished>(fixture.to_entries) == 1U);
+}
