A stream goes without a standby only if all engines that were asked are short of memory

Change: the copy is given up only if no engine that was asked has room; a full engine refuses copies itself. Test: one_full_engine_among_idle_ones_costs_no_stream_its_standby.

--- a/src/relay/relay_manager.hpp
+++ b/src/relay/relay_manager.hpp
@@ -142,7 +142,8 @@
                             const target_record& to) override;
     [[nodiscard]] std::optional<core::duration>
     time_to_return(const core::service_name& service) override;
-    [[nodiscard]] limits::engine_load load_of(const request_plan& plan, const target_record& target,
+    [[nodiscard]] limits::engine_load load_of(const request_plan& plan,
+                                              const core::target_name& target,
                                               const reported_load& load) const override;
     limits::start_decision admit(const request_plan& plan,
                                  const limits::engine_load& load) override;
--- a/src/relay/relay_manager_admission.cpp
+++ b/src/relay/relay_manager_admission.cpp
@@ -19,12 +19,13 @@
                                  core::hash_of(plan.submitted.content->id)};
 }
 
-limits::engine_load relay_manager::load_of(const request_plan& plan, const target_record& target,
+limits::engine_load relay_manager::load_of(const request_plan& plan,
+                                           const core::target_name& target,
                                            const reported_load& load) const
 {
     return limits::engine_load{load.waiting,
                                load.running,
-                               targets_.work_on(target.name).unread_tokens,
+                               targets_.work_on(target).unread_tokens,
                                load.memory_used,
                                load.memory_total > 0 ? load.memory_total
                                                      : plan.engine->memory_tokens,
--- a/src/relay/relayed_request.hpp
+++ b/src/relay/relayed_request.hpp
@@ -64,7 +64,7 @@
     /// @param load what it reported
     /// @return its load, including the work that this instance has on it
     [[nodiscard]] virtual limits::engine_load load_of(const request_plan& plan,
-                                                      const target_record& target,
+                                                      const core::target_name& target,
                                                       const reported_load& load) const = 0;
 
     /// @param plan a request that no target has received
@@ -254,7 +254,7 @@
     void note_failed_survey();
     void weigh_candidates();
     [[nodiscard]] request_event admit_candidate(const placement& found);
-    /// @return the standby, empty if it has no room for a copy
+    /// @return the standby, empty if the engines that were asked are all short of memory
     [[nodiscard]] std::optional<target_record> fitting_standby(const placement& found) const;
     [[nodiscard]] bool is_new_work() const;
     void refuse_overloaded();
--- a/src/relay/relayed_request_placement.cpp
+++ b/src/relay/relayed_request_placement.cpp
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include "core/log.hpp"
 #include "relay/relayed_request.hpp"
 
@@ -112,7 +114,7 @@
         placed_.emplace(found);
         return request_event::candidate_accepted;
     }
-    const limits::engine_load engine = host_.load_of(plan_, found.target, load->second);
+    const limits::engine_load engine = host_.load_of(plan_, found.target.name, load->second);
     const limits::start_decision decision = host_.admit(plan_, engine);
     if (decision.verdict == limits::start_verdict::start) {
         start_load_.emplace(engine);
@@ -134,14 +136,11 @@
 
 std::optional<target_record> relayed_request::fitting_standby(const placement& found) const
 {
-    if (!found.standby.has_value()) {
-        return std::nullopt;
-    }
-    const auto load = loads_.find(found.standby->name);
-    const bool fits =
-        load == loads_.end() ||
-        host_.has_room_for_copy(plan_, host_.load_of(plan_, *found.standby, load->second));
-    return fits ? found.standby : std::nullopt;
+    // One full engine among others with room is no shortage; it refuses copies itself.
+    const bool has_room = std::any_of(loads_.begin(), loads_.end(), [&](const auto& each) {
+        return host_.has_room_for_copy(plan_, host_.load_of(plan_, each.first, each.second));
+    });
+    return has_room ? found.standby : std::nullopt;
 }
 
 bool relayed_request::is_new_work() const
--- a/tests/limits/engine_fleet.hpp
+++ b/tests/limits/engine_fleet.hpp
@@ -290,7 +290,10 @@
         const limits::start_decision decision = policy.decide(request, load);
         if (decision.verdict == limits::start_verdict::start) {
             open(placed, asked[0], load);
-            if (policy.has_room_for_copy(request, load_of(asked[1], placed.instance))) {
+            const bool has_room = std::any_of(asked.begin(), asked.end(), [&](std::size_t each) {
+                return policy.has_room_for_copy(request, load_of(each, placed.instance));
+            });
+            if (has_room) {
                 placed.copy_at = asked[1];
                 engines_[asked[1]].copies += static_cast<double>(placed.prompt);
             }
--- a/tests/relay/overload_test.cpp
+++ b/tests/relay/overload_test.cpp
@@ -110,3 +110,16 @@
     fixture.submit(2);
     BOOST_TEST(fixture.last_attempt().standby.has_value());
 }
+
+BOOST_AUTO_TEST_CASE(one_full_engine_among_idle_ones_costs_no_stream_its_standby)
+{
+    for (int full = 0; full < 3; ++full) {
+        relay_fixture fixture;
+        report(fixture, 0, 1, memory / 10);
+        const std::string name = "t-" + std::to_string(full);
+        fixture.loads.erase(name);
+        fixture.loads.emplace(name, relay::reported_load{0, 7, memory * 8 / 10, memory, {}, false});
+        fixture.submit(1);
+        BOOST_TEST(fixture.last_attempt().standby.has_value(), name);
+    }
+}
