Logs tell why a request was abandoned, a connection closed and timers were late

A cut answer was logged as such, but not whether the retry budget, the runs, the offers or a quarantine kept the request from going on; a connection that a time limit closed wasn't logged at all, nor was a stall of the instance itself.

New events: request_abandoned (offers, rejections, runs, may_retry, quarantined), connection_expired (request half read, bytes unsent, bytes unread) and timers_late (late_ms). No behaviour changes.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -372,6 +372,18 @@
         timeout_check_ = loop_.run_after(timeout_check_interval, [this] { check_timeouts(); });
     }
 
+    static void log_expiry(const connection& expired, core::duration waited)
+    {
+        const bool loses_data = expired.reader != nullptr || expired.stream.unsent() > 0 ||
+                                expired.stream.has_unread_bytes();
+        core::log_event(loses_data ? core::log_level::info : core::log_level::debug,
+                        "connection_expired",
+                        {{"waited_ms", core::to_milliseconds(waited)},
+                         {"reads_request", expired.reader != nullptr},
+                         {"unsent_bytes", expired.stream.unsent()},
+                         {"unread_bytes", expired.stream.has_unread_bytes()}});
+    }
+
     void check_timeouts()
     {
         const core::instant now = loop_.now();
@@ -382,6 +394,9 @@
                                                : settings_.get().idle_timeout;
             const bool expired =
                 !checked.exchange.has_value() && now - checked.waiting_since > timeout;
+            if (expired) {
+                log_expiry(checked, now - checked.waiting_since);
+            }
             it = expired ? connections_.erase(it) : std::next(it);
         }
         schedule_timeout_check();
--- a/src/relay/relay_manager.cpp
+++ b/src/relay/relay_manager.cpp
@@ -13,6 +13,9 @@
 /// Account name in the metrics of public routes.
 const core::account_name no_account{"public"};
 
+/// Delay of the timers that is logged as a stall of this instance.
+constexpr core::duration reported_stall = std::chrono::milliseconds{100};
+
 metrics::series_labels labels_of(const request_plan& plan)
 {
     return metrics::series_labels{plan.account.empty() ? no_account : plan.account, plan.service,
@@ -52,6 +55,11 @@
 void relay_manager::on_timer(core::instant now)
 {
     now_ = now;
+    if (!deadline_order_.empty() && now - deadline_order_.begin()->first >= reported_stall) {
+        core::log_event(core::log_level::info, "timers_late",
+                        {{"late_ms", core::to_milliseconds(now - deadline_order_.begin()->first)},
+                         {"open_requests", requests_.size()}});
+    }
     while (!deadline_order_.empty() && deadline_order_.begin()->first <= now) {
         const request_number number = deadline_order_.begin()->second;
         requests_.at(number)->on_timer(now);
--- a/src/relay/relayed_request.cpp
+++ b/src/relay/relayed_request.cpp
@@ -321,6 +321,7 @@
         finish_answer();
         break;
     case request_action::cut_answer:
+        record_abandonment();
         host_.send(answer_cut{plan_.submitted.caller});
         finish("cut");
         break;
@@ -328,6 +329,7 @@
         refuse(core::error_kind::deadline_exceeded, "no response within the time limit", false, {});
         break;
     case request_action::fail_lost:
+        record_abandonment();
         refuse(core::error_kind::unavailable, "the target that ran the request was lost", false,
                {});
         break;
--- a/src/relay/relayed_request.hpp
+++ b/src/relay/relayed_request.hpp
@@ -244,6 +244,8 @@
     void refuse_held();
     [[nodiscard]] request_event missing_target_event();
     void record_attempt_end(std::string_view event);
+    /// Logs what kept the request from going on.
+    void record_abandonment() const;
     void refuse(core::error_kind kind, std::string_view problem, bool not_run,
                 core::duration retry_after);
     void finish(std::string_view outcome);
--- a/src/relay/relayed_request_outcome.cpp
+++ b/src/relay/relayed_request_outcome.cpp
@@ -107,6 +107,20 @@
                      {"detail", loss_detail_}});
 }
 
+void relayed_request::record_abandonment() const
+{
+    core::log_event(core::log_level::info, "request_abandoned",
+                    {{"request", plan_.submitted.content->id},
+                     {"answer_begun", answer_begun_},
+                     {"offers", offers_},
+                     {"rejections", rejections_},
+                     {"runs", runs_},
+                     {"max_runs", plan_.matched_route.max_runs},
+                     {"may_retry", host_.may_retry(plan_.service)},
+                     {"quarantined", is_quarantined()},
+                     {"last_loss", loss_detail_}});
+}
+
 void relayed_request::finish(std::string_view outcome)
 {
     const auto held = protection_ == nullptr ? std::optional<run_copy>{} : protection_->held_copy();
