A request whose target is silent is given up only if it can go on elsewhere

Callers saw a stream cut, or a request answered with 502, 385 ms after the last event at a pause goal of 700 ms, though its target was sound, still ran it and would have gone on. Where no run, no retry budget or no other target was left, or the request was quarantined, the chart closed the attempt all the same; a lone target got the request a second time, and a lone target that was leaving lost a safe request that it was about to answer.

Cause: a suspicion was treated as a loss. The guard asked whether the request may be sent again, never whether that gains anything, and without it the attempt ended. Class: giving up what works for want of a better choice.

A silent target's request now moves only if it may be sent again and another target would take it (guard may_move). Otherwise it stays, the target is asked again after the next pause limit, and the caller's time limit bounds all of it, as before. A move still closes the former attempt first, so that no request runs at two targets.

Failed before, in tests/relay: a_stream_without_runs_left_is_not_cut_while_its_target_is_silent: close_attempt == 0 has failed [1 != 0], answer_cut == 0 has failed [1 != 0] a_stream_without_retry_budget_is_not_cut_while_its_target_is_silent: the same a_request_without_runs_left_does_not_fail_before_its_first_event_arrives: answer_refused == 0 has failed [1 != 0] a_stream_moves_from_a_silent_target_as_soon_as_the_retry_budget_allows: answer_cut == 0 has failed [1 != 0] a_stream_whose_only_target_never_goes_on_is_cut_at_its_time_limit: open_requests() == 1 has failed [0 != 1] a_stream_whose_silent_target_is_the_only_one_stays_there: open_attempt == 1 has failed [2 != 1] a_safe_request_whose_slow_target_is_leaving_and_the_only_one_is_answered: answer_refused == 0 has failed [1 != 0]

--- a/src/relay/relayed_request.cpp
+++ b/src/relay/relayed_request.cpp
@@ -266,6 +266,8 @@
         }
         return is_idempotent() && runs_ < plan_.matched_route.max_runs &&
                host_.may_retry(plan_.service) && !is_quarantined();
+    case request_guard::may_move:
+        return holds(static_cast<chart::symbol>(request_guard::may_go_on)) && has_other_target();
     case request_guard::replaces_failure:
         // A stream that has begun can only go on as a stream, whatever else a target answers.
         return (answer_begun_ || received_answer_->get().head.status >= first_failure_status) &&
@@ -364,6 +366,10 @@
         record_attempt_end("attempt_silent");
         host_.on_loss(placed_->get().target.name);
         break;
+    case request_action::note_mute:
+        record_mute_target();
+        host_.on_loss(placed_->get().target.name);
+        break;
     case request_action::note_loss:
         report_outcome(true);
         record_attempt_end("attempt_lost");
--- a/src/relay/relayed_request.hpp
+++ b/src/relay/relayed_request.hpp
@@ -244,6 +244,7 @@
     void refuse_held();
     [[nodiscard]] request_event missing_target_event();
     void record_attempt_end(std::string_view event);
+    void record_mute_target() const;
     /// Logs what kept the request from going on.
     void record_abandonment() const;
     void refuse(core::error_kind kind, std::string_view problem, bool not_run,
@@ -259,6 +260,8 @@
     /// @return the standby, empty if the engines that were asked are all short of memory
     [[nodiscard]] std::optional<target_record> fitting_standby(const placement& found) const;
     [[nodiscard]] bool is_new_work() const;
+    /// @return true if the request could be sent to another target than the current one
+    [[nodiscard]] bool has_other_target() const;
     void refuse_overloaded();
     void start_attempt();
     void begin_answer();
--- a/src/relay/relayed_request_outcome.cpp
+++ b/src/relay/relayed_request_outcome.cpp
@@ -121,6 +121,16 @@
                      {"last_loss", loss_detail_}});
 }
 
+void relayed_request::record_mute_target() const
+{
+    core::log_event(core::log_level::info, "target_mute",
+                    {{"request", plan_.submitted.content->id},
+                     {"attempt", attempt_.value()},
+                     {"target", placed_->get().target.name.str()},
+                     {"runs", runs_},
+                     {"after_ms", core::to_milliseconds(now_ - plan_.accepted)}});
+}
+
 void relayed_request::finish(std::string_view outcome)
 {
     const auto held = protection_ == nullptr ? std::optional<run_copy>{} : protection_->held_copy();
--- a/src/relay/relayed_request_placement.cpp
+++ b/src/relay/relayed_request_placement.cpp
@@ -148,6 +148,23 @@
     return !may_have_run_ && !last_event_.has_value();
 }
 
+bool relayed_request::has_other_target() const
+{
+    const core::target_name& current = placed_->get().target.name;
+    std::set<core::target_name> tried = tried_;
+    tried.insert(current);
+    const auto other = host_.place(placement_query{plan_.service,
+                                                   plan_.submitted.prompt_tokens,
+                                                   {},
+                                                   std::move(tried),
+                                                   {},
+                                                   {},
+                                                   false,
+                                                   {},
+                                                   version_rule_of(rule_)});
+    return other.has_value() && other->target.name != current;
+}
+
 void relayed_request::start_attempt()
 {
     attempt_ = attempt_.next();
--- a/src/relay/request_chart.cpp
+++ b/src/relay/request_chart.cpp
@@ -13,7 +13,7 @@
          "attempt_lost",       "answer_arrived",   "stream_begun",
          "events_arrived",     "stream_finished",  "silence_noticed",
          "target_alive",       "target_mute"},
-        {"answer_begun", "may_have_run", "may_wait", "may_offer_again", "may_go_on",
+        {"answer_begun", "may_have_run", "may_wait", "may_offer_again", "may_go_on", "may_move",
          "replaces_failure", "may_ask", "events_seen", "candidates_left"},
         {"seek_target",     "release_attempt",    "ask_candidates", "weigh_candidates",
          "note_survey",     "open_attempt",       "close_attempt",  "ask_target",
@@ -21,7 +21,7 @@
          "fail_late",       "fail_lost",          "refuse_late",    "refuse_unplaced",
          "refuse_rejected", "refuse_quarantined", "refuse_held",    "refuse_overloaded",
          "note_rejection",  "note_loss",          "note_failure",   "note_silence",
-         "note_caller_left"},
+         "note_mute",       "note_caller_left"},
         {"answer_limit", "placement_pause", "survey_limit", "first_answer_limit", "pause_limit",
          "question_limit", "room_pause"}};
     return words;
--- a/src/relay/request_chart.hpp
+++ b/src/relay/request_chart.hpp
@@ -38,6 +38,7 @@
     may_wait,
     may_offer_again,
     may_go_on,
+    may_move,
     replaces_failure,
     may_ask,
     events_seen,
@@ -70,6 +71,7 @@
     note_loss,
     note_failure,
     note_silence,
+    note_mute,
     note_caller_left,
 };
 
--- a/tests/relay/stream_test.cpp
+++ b/tests/relay/stream_test.cpp
@@ -416,3 +416,119 @@
     BOOST_TEST(relay_fixture::count<relay::close_attempt>(fixture.to_targets) == 0U);
     BOOST_TEST(relay_fixture::count<relay::answer_finished>(fixture.to_entries) == 1U);
 }
+
+namespace {
+
+/// A stream at its first event whose target then sends nothing and answers no question.
+void begin_silence(relay_fixture& fixture)
+{
+    fixture.stream_to(1);
+    fixture.targets_answer = false;
+}
+
+/// The target of the only attempt goes on and completes the stream.
+void check_completed_by_its_target(relay_fixture& fixture)
+{
+    BOOST_TEST(relay_fixture::count<relay::close_attempt>(fixture.to_targets) == 0U);
+    BOOST_TEST(relay_fixture::count<relay::answer_refused>(fixture.to_entries) == 0U);
+    BOOST_TEST(relay_fixture::count<relay::answer_cut>(fixture.to_entries) == 0U);
+    fixture.stream_to(2);
+    fixture.handle(relay::stream_finished{fixture.last_attempt().attempt});
+    BOOST_TEST(relay_fixture::count<relay::open_attempt>(fixture.to_targets) == 1U);
+    BOOST_TEST(relay_fixture::count<relay::answer_finished>(fixture.to_entries) == 1U);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(a_stream_without_runs_left_is_not_cut_while_its_target_is_silent)
+{
+    relay_fixture fixture;
+    fixture.apply_configuration(2, relay::request_kind::streaming, "key-1", 1);
+    fixture.submit(1);
+    begin_silence(fixture);
+    fixture.advance(1500ms);
+    check_completed_by_its_target(fixture);
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_without_retry_budget_is_not_cut_while_its_target_is_silent)
+{
+    relay_fixture fixture{relay::request_kind::streaming, relay::retry_settings{0, 0}};
+    fixture.submit(1);
+    begin_silence(fixture);
+    fixture.advance(1500ms);
+    check_completed_by_its_target(fixture);
+}
+
+BOOST_AUTO_TEST_CASE(a_request_without_runs_left_does_not_fail_before_its_first_event_arrives)
+{
+    relay_fixture fixture;
+    fixture.apply_configuration(2, relay::request_kind::streaming, "key-1", 1);
+    fixture.submit(1);
+    fixture.targets_answer = false;
+    // The first answer is due after 1400 ms.
+    fixture.advance(3s);
+    check_completed_by_its_target(fixture);
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_moves_from_a_silent_target_as_soon_as_the_retry_budget_allows)
+{
+    relay_fixture fixture{relay::request_kind::streaming,
+                          relay::retry_settings{.ratio = 0.5, .slack = 0, .used_fraction = 1.0}};
+    fixture.submit(1);
+    begin_silence(fixture);
+    fixture.advance(1s);
+    BOOST_TEST(relay_fixture::count<relay::open_attempt>(fixture.to_targets) == 1U);
+    // More requests raise the budget.
+    fixture.targets_answer = true;
+    for (std::uint64_t caller = 2; caller <= 9; ++caller) {
+        fixture.submit(caller);
+    }
+    fixture.targets_answer = false;
+    fixture.advance(400ms);
+    BOOST_TEST(relay_fixture::count<relay::close_attempt>(fixture.to_targets) == 1U);
+    BOOST_TEST(relay_fixture::count<relay::answer_cut>(fixture.to_entries) == 0U);
+    BOOST_TEST(fixture.last_attempt().attempt.request.value() == 1U);
+    BOOST_TEST(fixture.last_attempt().last_event.value_or("") == "1");
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_whose_only_target_never_goes_on_is_cut_at_its_time_limit)
+{
+    relay_fixture fixture;
+    fixture.apply_configuration(2, relay::request_kind::streaming, "key-1", 1);
+    fixture.submit(1);
+    begin_silence(fixture);
+    const std::size_t asked = relay_fixture::count<relay::ask_target>(fixture.to_targets);
+    fixture.advance(19900ms);
+    BOOST_TEST(fixture.open_requests() == 1U);
+    // At most one question in each pause limit of 280 ms.
+    BOOST_TEST(relay_fixture::count<relay::ask_target>(fixture.to_targets) - asked <= 71U);
+    fixture.advance(200ms);
+    BOOST_TEST(fixture.open_requests() == 0U);
+    BOOST_TEST(relay_fixture::count<relay::close_attempt>(fixture.to_targets) == 1U);
+    BOOST_TEST(relay_fixture::count<relay::answer_cut>(fixture.to_entries) == 1U);
+    BOOST_TEST(relay_fixture::count<relay::answer_finished>(fixture.to_entries) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_whose_silent_target_is_the_only_one_stays_there)
+{
+    relay_fixture fixture;
+    fixture.list_targets(1);
+    fixture.submit(1);
+    begin_silence(fixture);
+    fixture.advance(1500ms);
+    check_completed_by_its_target(fixture);
+}
+
+BOOST_AUTO_TEST_CASE(a_safe_request_whose_slow_target_is_leaving_and_the_only_one_is_answered)
+{
+    relay_fixture fixture{relay::request_kind::safe};
+    fixture.list_targets(1);
+    fixture.submit(1);
+    fixture.list_targets(1, true);
+    // Safe requests are retried after 3200 ms.
+    fixture.advance(5s);
+    fixture.handle(relay::attempt_answered{fixture.last_attempt().attempt,
+                                           relay::answer_head{200, {{"seal", "s"}}}, "answer"});
+    BOOST_TEST(relay_fixture::count<relay::answer_refused>(fixture.to_entries) == 0U);
+    BOOST_TEST(relay_fixture::count<relay::complete_answer>(fixture.to_entries) == 1U);
+}
