--- a/tests/generation/generation_manager_test.cpp
+++ b/tests/generation/generation_manager_test.cpp
@@ -338,3 +338,22 @@
     request(2, length, "k");
     BOOST_TEST(output.opened.size() == 2U);
 }
+
+BOOST_FIXTURE_TEST_CASE(the_last_attempt_is_not_given_up_while_its_engine_is_silent, fixture)
+{
+    request(1, length);
+    tokens(0, 0, 3);
+    const std::size_t last = generation::generation_settings{}.max_attempts - 1;
+    for (std::size_t attempt = 0; attempt < last; ++attempt) {
+        manager.on_engine_event(api::attempt_lost{output.opened.at(attempt).attempt,
+                                                  api::loss_kind::engine_error, "status 500"},
+                                clock.now());
+    }
+    BOOST_REQUIRE(output.opened.size() == last + 1);
+    advance_time(std::chrono::seconds{6});
+    BOOST_TEST(output.failures.empty());
+    BOOST_TEST(output.cancelled.empty());
+    tokens(last, 3, 7);
+    finish(last);
+    check_whole(length);
+}
