A connection on which a request has arrived has not expired

Callers saw a kept connection reset without an answer or a refusal, although their whole request had arrived in time: the check of the time limits looked at the clock only. After a stall, or while the thread is busy, the bytes wait in the kernel; closing the socket then also resets the connection. Class: a time limit is checked against the clock alone.

A connection with unread bytes isn't closed by the check; they are read in the same iteration of the loop, and the check runs again a second later.

Failed before, in tests/http: a_request_that_has_arrived_is_answered_though_the_idle_limit_is_over: receive(kept.fd).ends_with("whole") has failed, kept.handler.requests == 2 has failed [1 != 2].

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -384,16 +384,26 @@
                          {"unread_bytes", expired.stream.has_unread_bytes()}});
     }
 
+    /// @return true if the peer has exceeded the time limits
+    [[nodiscard]] bool is_expired(const connection& checked, core::instant now) const
+    {
+        if (checked.exchange.has_value()) {
+            return false;
+        }
+        const core::duration timeout = checked.reader != nullptr || checked.close_when_sent
+                                           ? settings_.get().request_timeout
+                                           : settings_.get().idle_timeout;
+        // Bytes that have arrived but were not read yet may complete a request.
+        return now - checked.waiting_since > timeout &&
+               (checked.close_when_sent || !checked.stream.has_unread_bytes());
+    }
+
     void check_timeouts()
     {
         const core::instant now = loop_.now();
         for (auto it = connections_.begin(); it != connections_.end();) {
             const connection& checked = *it->second;
-            const core::duration timeout = checked.reader != nullptr || checked.close_when_sent
-                                               ? settings_.get().request_timeout
-                                               : settings_.get().idle_timeout;
-            const bool expired =
-                !checked.exchange.has_value() && now - checked.waiting_since > timeout;
+            const bool expired = is_expired(checked, now);
             if (expired) {
                 log_expiry(checked, now - checked.waiting_since);
             }
--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -4,9 +4,9 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include <string_view>
-
 #include <boost/test/unit_test.hpp>
+#include <string_view>
+#include <thread>
 
 #include "support/ports.hpp"
 
@@ -242,3 +242,62 @@
     listening->reset();
     loop.close();
 }
+
+namespace {
+
+/// Longer than the interval in which the server checks its time limits.
+constexpr core::duration check_time = std::chrono::milliseconds{1050};
+
+/// Runs the loop for a while.
+void run_for(task::event_loop& loop, core::duration time)
+{
+    const core::instant end = loop.now() + time;
+    while (loop.now() < end) {
+        loop.run_once(std::chrono::milliseconds{5});
+    }
+}
+
+/// A server with one connection on which a request was answered.
+struct kept_connection {
+    task::event_loop loop;
+    answering_handler handler;
+    std::unique_ptr<http::server> server;
+    int fd = -1;
+
+    explicit kept_connection(const http::server_settings& settings)
+    {
+        loop.open();
+        const core::socket_address address = test::free_address();
+        auto listening = http::server::listen(loop, address, settings, handler);
+        BOOST_REQUIRE(listening.ok());
+        server = *std::move(listening);
+        handler.server = server.get();
+        fd = connect_to(address);
+        send_request(fd);
+        run(loop, 5);
+        BOOST_REQUIRE(receive(fd).ends_with("whole"));
+    }
+    ~kept_connection()
+    {
+        ::close(fd);
+        server.reset();
+        loop.close();
+    }
+    kept_connection(const kept_connection&) = delete;
+    kept_connection& operator=(const kept_connection&) = delete;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(a_request_that_has_arrived_is_answered_though_the_idle_limit_is_over)
+{
+    kept_connection kept{{.idle_timeout = std::chrono::milliseconds{100}}};
+    std::this_thread::sleep_for(check_time);
+    kept.loop.wait(core::duration::zero());
+    // The request arrives after the sockets were read and before the limits are checked.
+    send_request(kept.fd);
+    kept.loop.run_timers();
+    run(kept.loop, 5);
+    BOOST_TEST(receive(kept.fd).ends_with("whole"));
+    BOOST_TEST(kept.handler.requests == 2);
+}
