The idle limit cuts no answer that is being sent

Callers that read a long answer slowly had it cut once the idle limit was over, counted from the moment at which the server had written it to its buffer: the connection had no open request by then, so it counted as idle. A configuration that shortens the limit made it likelier. Class: a time limit is checked against the clock alone.

While bytes are unsent the limit for sending applies, as it did for connections that close after their answer; the idle limit starts when all is sent.

Failed before, in tests/http: an_answer_that_is_being_sent_is_not_cut_by_the_idle_limit: received > body.size() has failed [3919872 <=].

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -202,6 +202,9 @@
             if (close_when_sent) {
                 owner.connections_.erase(connection_number{number});
             }
+            else if (!exchange.has_value() && reader == nullptr) {
+                waiting_since = owner.loop_.now();
+            }
         }
         void on_end(close_reason /*end*/) override { owner.drop(*this, true); }
     };
@@ -390,9 +393,10 @@
         if (checked.exchange.has_value()) {
             return false;
         }
-        const core::duration timeout = checked.reader != nullptr || checked.close_when_sent
-                                           ? settings_.get().request_timeout
-                                           : settings_.get().idle_timeout;
+        const bool transfers =
+            checked.reader != nullptr || checked.close_when_sent || checked.stream.unsent() > 0;
+        const core::duration timeout =
+            transfers ? settings_.get().request_timeout : settings_.get().idle_timeout;
         // Bytes that have arrived but were not read yet may complete a request.
         return now - checked.waiting_since > timeout &&
                (checked.close_when_sent || !checked.stream.has_unread_bytes());
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -31,7 +31,7 @@
 struct server_settings {
     const message_limits messages;
     /// Maximum time from the first to the last byte of a request, and for sending the rest of a
-    /// response before the connection is closed.
+    /// response.
     const core::duration request_timeout = std::chrono::seconds{30};
     /// Maximum time for which a connection may stay open without a request.
     const core::duration idle_timeout = std::chrono::minutes{10};
--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -301,3 +301,33 @@
     BOOST_TEST(receive(kept.fd).ends_with("whole"));
     BOOST_TEST(kept.handler.requests == 2);
 }
+
+BOOST_AUTO_TEST_CASE(an_answer_that_is_being_sent_is_not_cut_by_the_idle_limit)
+{
+    task::event_loop loop;
+    loop.open();
+    counting_handler handler;
+    const core::socket_address address = test::free_address();
+    auto listening = http::server::listen(
+        loop, address, http::server_settings{.idle_timeout = std::chrono::milliseconds{100}},
+        handler);
+    BOOST_REQUIRE(listening.ok());
+    const int fd = connect_to(address);
+    send_request(fd);
+    run(loop, 5);
+    // More than the socket buffers hold; the caller reads late.
+    const std::string body(16 * 1024 * 1024, 'x');
+    (*listening)->respond(handler.last, http::response_head{200, {}}, body);
+    run_for(loop, check_time);
+    std::size_t received = 0;
+    std::string part(1024 * 1024, ' ');
+    for (int i = 0; i < 2000 && received < body.size(); ++i) {
+        loop.run_once(std::chrono::milliseconds{1});
+        const ssize_t size = ::recv(fd, part.data(), part.size(), MSG_DONTWAIT);
+        received += static_cast<std::size_t>(std::max<ssize_t>(size, 0));
+    }
+    BOOST_TEST(received > body.size());
+    ::close(fd);
+    listening->reset();
+    loop.close();
+}
