Timers run only if the sockets were read after they expired

After a stall of the instance, such as the decoding of a large configuration on the thread that all its tasks share, the timers of all streams expired together and ran before the sockets were read: every target counted as silent though its events waited in the kernel. The questions, moves and retries that followed spent the retry budget. Class: the observer's own delay is taken for a fault of the observed.

The loop runs the timers that had expired when it last began to read its sockets, and the requests' own timers are held to the same instant, since other timers may run them early. A timer that expires during a stall runs one iteration later.

Failed before, in tests/task: bytes_that_arrive_during_a_stall_are_read_before_timers_run: received->take(max_wait) == from_socket has failed [2 != 1]. a_stall_of_the_instance_is_not_taken_for_the_silence_of_all_targets in tests/relay guards the new parameter of on_timer() and could not be built on the code before.

--- a/src/relay/relay_manager.cpp
+++ b/src/relay/relay_manager.cpp
@@ -52,7 +52,7 @@
     report_ending_targets();
 }
 
-void relay_manager::on_timer(core::instant now)
+void relay_manager::on_timer(core::instant now, core::instant heard_until)
 {
     now_ = now;
     if (!deadline_order_.empty() && now - deadline_order_.begin()->first >= reported_stall) {
@@ -60,9 +60,9 @@
                         {{"late_ms", core::to_milliseconds(now - deadline_order_.begin()->first)},
                          {"open_requests", requests_.size()}});
     }
-    while (!deadline_order_.empty() && deadline_order_.begin()->first <= now) {
+    while (!deadline_order_.empty() && deadline_order_.begin()->first <= heard_until) {
         const request_number number = deadline_order_.begin()->second;
-        requests_.at(number)->on_timer(now);
+        requests_.at(number)->on_timer(now, heard_until);
         update_or_remove(number);
     }
     lifecycle_.on_timer(now);
--- a/src/relay/relay_manager.hpp
+++ b/src/relay/relay_manager.hpp
@@ -55,8 +55,10 @@
     void start(core::instant now);
     void handle(const relay_message& message, core::instant now);
 
-    /// Raises the events of expired timers.
-    void on_timer(core::instant now);
+    /// Raises the events of expired timers; those of requests only if they expired before
+    /// `heard_until`.
+    /// @param heard_until all reports of targets that arrived before this instant were handled
+    void on_timer(core::instant now, core::instant heard_until);
 
     /// @return when on_timer() must be called next, empty if no timer runs
     [[nodiscard]] std::optional<core::instant> next_deadline() const;
--- a/src/relay/relay_task.cpp
+++ b/src/relay/relay_task.cpp
@@ -8,7 +8,7 @@
 relay_task::relay_task(task::task_host& host, relay_settings settings, relay_charts charts)
     : basic_task{"relay", &host}, settings_{std::move(settings)}, charts_{std::move(charts)},
       timer_{loop(), [this] {
-                 manager_->on_timer(now());
+                 manager_->on_timer(now(), loop().read_until());
                  timer_.set(manager_->next_deadline());
              }}
 {
--- a/src/relay/relayed_request.cpp
+++ b/src/relay/relayed_request.cpp
@@ -182,14 +182,14 @@
     return deadline;
 }
 
-void relayed_request::on_timer(core::instant now)
+void relayed_request::on_timer(core::instant now, core::instant heard_until)
 {
     if (protection_ != nullptr) {
         now_ = now;
         protection_->on_timer(now);
     }
-    for (auto event = timers_.take_expired(now); event.has_value();
-         event = timers_.take_expired(now)) {
+    for (auto event = timers_.take_expired(heard_until); event.has_value();
+         event = timers_.take_expired(heard_until)) {
         raise(static_cast<request_event>(*event), now);
     }
 }
--- a/src/relay/relayed_request.hpp
+++ b/src/relay/relayed_request.hpp
@@ -161,8 +161,9 @@
     /// within the limit.
     void check_slow(const core::version_name& version, core::duration limit, core::instant now);
 
-    /// Raises the events of expired timers.
-    void on_timer(core::instant now);
+    /// Raises the events of timers that expired before `heard_until`.
+    /// @param heard_until all reports that arrived before this instant were handled
+    void on_timer(core::instant now, core::instant heard_until);
 
     /// @return when on_timer() must be called next, empty if no timer runs
     [[nodiscard]] std::optional<core::instant> next_deadline() const;
--- a/src/task/event_loop.cpp
+++ b/src/task/event_loop.cpp
@@ -103,6 +103,7 @@
 
 void event_loop::wait(core::duration max_wait)
 {
+    read_until_ = now();
     const core::duration wait = time_to_next_timer(max_wait);
     const auto wait_ms = std::chrono::ceil<std::chrono::milliseconds>(wait).count();
     h2o_evloop_run(native_->loop, static_cast<std::int32_t>(wait_ms));
@@ -111,6 +112,7 @@
 void event_loop::run_once(core::duration max_wait)
 {
     wait(max_wait);
+    wait(core::duration::zero());
     if (run_timers()) {
         complete_writes();
     }
@@ -128,8 +130,7 @@
 bool event_loop::run_timers()
 {
     bool fired = false;
-    const core::instant current = now();
-    while (!timers_.empty() && timers_.begin()->first.first <= current) {
+    while (!timers_.empty() && timers_.begin()->first.first <= read_until_) {
         const auto first = timers_.begin();
         const std::function<void()> callback = std::move(first->second);
         deadlines_.erase(first->first.second);
--- a/src/task/event_loop.hpp
+++ b/src/task/event_loop.hpp
@@ -71,11 +71,15 @@
     /// @param max_wait time limit
     void wait(core::duration max_wait);
 
-    /// Runs the callbacks of the timers that have expired.
+    /// Runs the callbacks of the timers that had expired before the last wait(). After a stall the
+    /// sockets are thus read first: bytes that arrived in time are not late.
     /// @return true if there was one
     bool run_timers();
 
-    /// Calls wait() and run_timers(), for a loop without tasks.
+    /// @return start of the last wait(); what arrived on sockets before it was read
+    [[nodiscard]] core::instant read_until() const { return read_until_; }
+
+    /// Waits and runs the timers that expire meanwhile, for a loop without tasks.
     /// @param max_wait time limit
     void run_once(core::duration max_wait);
 
@@ -87,6 +91,7 @@
     std::map<std::pair<core::instant, timer_id>, std::function<void()>> timers_;
     std::map<timer_id, core::instant> deadlines_;
     timer_id last_timer_;
+    core::instant read_until_;
 
     [[nodiscard]] core::duration time_to_next_timer(core::duration max_wait) const;
 };
--- a/tests/relay/stream_test.cpp
+++ b/tests/relay/stream_test.cpp
@@ -532,3 +532,21 @@
     BOOST_TEST(relay_fixture::count<relay::answer_refused>(fixture.to_entries) == 0U);
     BOOST_TEST(relay_fixture::count<relay::complete_answer>(fixture.to_entries) == 1U);
 }
+
+BOOST_AUTO_TEST_CASE(a_stall_of_the_instance_is_not_taken_for_the_silence_of_all_targets)
+{
+    relay_fixture fixture;
+    for (std::uint64_t caller = 1; caller <= 3; ++caller) {
+        fixture.submit(caller);
+        fixture.stream_to(1);
+    }
+    const std::size_t asked = relay_fixture::count<relay::ask_target>(fixture.to_targets);
+    fixture.stall(600ms);
+    BOOST_TEST(relay_fixture::count<relay::ask_target>(fixture.to_targets) == asked);
+    // The events that arrived meanwhile are read.
+    fixture.stream_to(2);
+    fixture.advance(1ms);
+    // Only the two streams without an event are in doubt.
+    BOOST_TEST(relay_fixture::count<relay::ask_target>(fixture.to_targets) == asked + 2);
+    BOOST_TEST(relay_fixture::count<relay::close_attempt>(fixture.to_targets) == 0U);
+}
--- a/tests/relay/test_fixture.hpp
+++ b/tests/relay/test_fixture.hpp
@@ -56,12 +56,21 @@
             clock_.advance(1ms);
             const auto deadline = manager_.next_deadline();
             if (deadline.has_value() && *deadline <= clock_.now()) {
-                manager_.on_timer(clock_.now());
+                manager_.on_timer(clock_.now(), clock_.now());
                 answer_load_queries();
             }
         }
     }
 
+    /// Stalls the instance: the clock advances, and timers run before the sockets are read.
+    void stall(core::duration time)
+    {
+        const core::instant heard_until = clock_.now();
+        clock_.advance(time);
+        manager_.on_timer(clock_.now(), heard_until);
+        answer_load_queries();
+    }
+
     /// Accepts a configuration with one service, one route and one account.
     void apply_configuration(std::uint64_t revision, relay::request_kind kind,
                              const std::string& key = "key-1", std::uint32_t max_runs = 3)
--- a/tests/task/task_test.cpp
+++ b/tests/task/task_test.cpp
@@ -1,9 +1,16 @@
 #include "task/basic_task.hpp"
 
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <thread>
+
 #include <boost/test/unit_test.hpp>
 
 #include "task/channel.hpp"
 #include "task/ordered_sender.hpp"
+#include "task/readable_watch.hpp"
 
 using namespace cyclamen;
 
@@ -156,3 +163,62 @@
     BOOST_TEST(received->take(max_wait).value_or(0) == 2);
     host.stop();
 }
+
+namespace {
+
+constexpr int from_socket = 1;
+constexpr int from_timer = 2;
+
+/// Blocks its thread in a message while bytes arrive on a socket and a timer expires.
+class stalling_reader final : public task::basic_task<int> {
+  public:
+    stalling_reader(task::task_host& host, std::shared_ptr<task::channel<int>> received)
+        : basic_task{"stalling_reader", &host}, received_{std::move(received)}
+    {
+    }
+
+  private:
+    std::shared_ptr<task::channel<int>> received_;
+    std::array<int, 2> sockets_{};
+    std::unique_ptr<task::readable_watch> watch_;
+
+    absl::Status on_start() override
+    {
+        BOOST_REQUIRE(::socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, sockets_.data()) == 0);
+        watch_ = std::make_unique<task::readable_watch>(loop(), sockets_[0], [this] {
+            char byte = 0;
+            if (::recv(sockets_[0], &byte, 1, 0) == 1) {
+                std::ignore = received_->post(from_socket);
+            }
+        });
+        return absl::OkStatus();
+    }
+    void on_message(const int& /*message*/) override
+    {
+        loop().run_after(std::chrono::milliseconds{20},
+                         [this] { std::ignore = received_->post(from_timer); });
+        BOOST_REQUIRE(::send(sockets_[1], "x", 1, 0) == 1);
+        std::this_thread::sleep_for(std::chrono::milliseconds{40});
+    }
+    void on_stop() override
+    {
+        watch_.reset();
+        ::close(sockets_[0]);
+        ::close(sockets_[1]);
+    }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(bytes_that_arrive_during_a_stall_are_read_before_timers_run)
+{
+    const auto received = std::make_shared<task::channel<int>>();
+    task::task_host host;
+    stalling_reader stalling{host, received};
+    host.add(stalling);
+    BOOST_REQUIRE(host.start().ok());
+    BOOST_REQUIRE(stalling.inbox()->post(1).ok());
+    BOOST_TEST(received->take(max_wait).value_or(0) == from_socket);
+    BOOST_TEST(received->take(max_wait).value_or(0) == from_timer);
+    host.stop();
+}
