A stream that has begun waits when all targets reject it

A stream that had left a silent, sound target was cut when the next targets were full: four rejections, ten offers or a spent retry budget ended it, though a rejection says that a target has not run it and may have room soon.

Requests that have not begun to answer are refused or failed as before.

--- a/src/relay/relay_settings.hpp
+++ b/src/relay/relay_settings.hpp
@@ -40,6 +40,8 @@
     const core::duration placement_pause = std::chrono::milliseconds{50};
     /// Delay before a request for which no engine has room asks others: as old as their reports.
     const core::duration room_pause = std::chrono::milliseconds{100};
+    /// Delay before a stream that has begun and that all targets rejected is offered again.
+    const core::duration offer_pause = std::chrono::milliseconds{300};
     /// Fraction of the answer goal that a request may wait for its first target.
     const double placement_wait_fraction = 0.3;
     /// Rejections by full targets after which the whole service counts as full.
--- a/src/relay/relayed_request.cpp
+++ b/src/relay/relayed_request.cpp
@@ -232,6 +232,8 @@
         return settings_.survey_limit * (1 << unanswered_surveys_);
     case request_timeout::room_pause:
         return settings_.room_pause;
+    case request_timeout::offer_pause:
+        return settings_.offer_pause;
     case request_timeout::first_answer_limit:
         if (plan_.matched_route.kind == request_kind::unsafe) {
             return no_limit;
@@ -268,6 +270,8 @@
                host_.may_retry(plan_.service) && !is_quarantined();
     case request_guard::may_move:
         return holds(static_cast<chart::symbol>(request_guard::may_go_on)) && has_other_target();
+    case request_guard::may_retry:
+        return host_.may_retry(plan_.service);
     case request_guard::replaces_failure:
         // A stream that has begun can only go on as a stream, whatever else a target answers.
         return (answer_begun_ || received_answer_->get().head.status >= first_failure_status) &&
--- a/src/relay/request_chart.cpp
+++ b/src/relay/request_chart.cpp
@@ -14,7 +14,7 @@
          "events_arrived",     "stream_finished",  "silence_noticed",
          "target_alive",       "target_mute"},
         {"answer_begun", "may_have_run", "may_wait", "may_offer_again", "may_go_on", "may_move",
-         "replaces_failure", "may_ask", "events_seen", "candidates_left"},
+         "may_retry", "replaces_failure", "may_ask", "events_seen", "candidates_left"},
         {"seek_target",     "release_attempt",    "ask_candidates", "weigh_candidates",
          "note_survey",     "open_attempt",       "close_attempt",  "ask_target",
          "deliver_events",  "deliver_answer",     "finish_answer",  "cut_answer",
@@ -23,7 +23,7 @@
          "note_rejection",  "note_loss",          "note_failure",   "note_silence",
          "note_mute",       "note_caller_left"},
         {"answer_limit", "placement_pause", "survey_limit", "first_answer_limit", "pause_limit",
-         "question_limit", "room_pause"}};
+         "question_limit", "room_pause", "offer_pause"}};
     return words;
 }
 
--- a/src/relay/request_chart.hpp
+++ b/src/relay/request_chart.hpp
@@ -39,6 +39,7 @@
     may_offer_again,
     may_go_on,
     may_move,
+    may_retry,
     replaces_failure,
     may_ask,
     events_seen,
@@ -84,6 +85,7 @@
     pause_limit,
     question_limit,
     room_pause,
+    offer_pause,
 };
 
 /// @return the events, guards, actions and timeouts of the chart `relayed_request`
--- a/tests/relay/stream_test.cpp
+++ b/tests/relay/stream_test.cpp
@@ -550,3 +550,24 @@
     BOOST_TEST(relay_fixture::count<relay::ask_target>(fixture.to_targets) == asked + 2);
     BOOST_TEST(relay_fixture::count<relay::close_attempt>(fixture.to_targets) == 0U);
 }
+
+BOOST_AUTO_TEST_CASE(a_stream_that_left_a_silent_target_is_not_cut_because_others_are_full)
+{
+    relay_fixture fixture;
+    fixture.list_targets(6);
+    fixture.submit(1);
+    begin_silence(fixture);
+    fixture.advance(400ms);
+    BOOST_REQUIRE(relay_fixture::count<relay::close_attempt>(fixture.to_targets) == 1U);
+    fixture.targets_answer = true;
+    const std::size_t rejections = relay::request_settings{}.max_rejections + 2;
+    for (std::size_t i = 0; i < rejections; ++i) {
+        fixture.handle(relay::attempt_rejected{fixture.last_attempt().attempt, 503, false});
+        fixture.advance(400ms);
+    }
+    BOOST_TEST(relay_fixture::count<relay::answer_cut>(fixture.to_entries) == 0U);
+    BOOST_TEST(fixture.last_attempt().last_event.value_or("") == "1");
+    fixture.stream_to(2);
+    fixture.handle(relay::stream_finished{fixture.last_attempt().attempt});
+    BOOST_TEST(relay_fixture::count<relay::answer_finished>(fixture.to_entries) == 1U);
+}
