The stand-in store can come back from a copy

The stand-in names its era in the header Store-Era of every answer, also of refusals. The message restore_copy takes it away, undoes the latest transactions and starts a new era: versions are given out again, and a feed call after a version that the copy doesn't have gets 410, also one that waits already. Writes of the operator and the runners are made again after a short delay, as new transactions in their former order.

--- a/src/standin/row_store.cpp
+++ b/src/standin/row_store.cpp
@@ -15,12 +15,27 @@
     if (!all_hold) {
         return false;
     }
+    apply(writes, false);
+    return true;
+}
+
+void row_store::write_externally(const std::vector<row_write>& writes)
+{
+    apply(writes, true);
+}
+
+void row_store::apply(const std::vector<row_write>& writes, bool external)
+{
     ++version_;
+    transaction applied{version_, external, writes, {}};
     for (const row_write& write : writes) {
         const row_key key{write.table, write.key};
-        if (write.removed && !rows_.contains(key)) {
+        const auto stored = rows_.find(key);
+        if (write.removed && stored == rows_.end()) {
             continue;
         }
+        applied.replaced.emplace_back(key, stored == rows_.end() ? std::nullopt
+                                                                 : std::optional{stored->second});
         const replica::row changed{write.key, write.value, version_, write.removed};
         rows_.erase(key);
         if (!write.removed) {
@@ -28,7 +43,45 @@
         }
         history_.emplace_back(write.table, changed);
     }
-    return true;
+    transactions_.push_back(std::move(applied));
+    if (transactions_.size() > max_undone_transactions) {
+        transactions_.pop_front();
+    }
+}
+
+std::vector<std::vector<row_write>> row_store::restore(std::uint64_t version)
+{
+    std::vector<std::vector<row_write>> external;
+    while (!transactions_.empty() && transactions_.back().version > version) {
+        const transaction& newest = transactions_.back();
+        if (newest.external) {
+            external.push_back(newest.writes);
+        }
+        undo(newest);
+        transactions_.pop_back();
+    }
+    std::reverse(external.begin(), external.end());
+    std::vector<std::pair<std::string, replica::row>> kept;
+    for (const auto& [table, row] : history_) {
+        if (row.version <= version_) {
+            kept.emplace_back(table, row);
+        }
+    }
+    history_.swap(kept);
+    history_start_ = std::min(history_start_, version_);
+    ++era_;
+    return external;
+}
+
+void row_store::undo(const transaction& undone)
+{
+    for (auto each = undone.replaced.rbegin(); each != undone.replaced.rend(); ++each) {
+        rows_.erase(each->first);
+        if (each->second.has_value()) {
+            rows_.emplace(each->first, *each->second);
+        }
+    }
+    version_ = undone.version - 1;
 }
 
 replica::table_update row_store::read(const std::string& table, const std::string& first_key,
@@ -50,7 +103,7 @@
 std::optional<replica::table_update> row_store::changes(const std::string& table,
                                                         std::uint64_t after) const
 {
-    if (after < history_start_) {
+    if (after < history_start_ || after > version_) {
         return std::nullopt;
     }
     std::vector<replica::row> found;
--- a/src/standin/row_store.hpp
+++ b/src/standin/row_store.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -32,13 +33,25 @@
 };
 
 /// In-memory rows of the stand-in store: tables, one version counter for all of them, and a history
-/// of changes that can be dropped.
+/// of changes that can be dropped. Its latest transactions can be undone as if the store came back
+/// from a copy; the writes of the operator and the runners are returned then to be applied again.
 class row_store {
   public:
+    /// Maximum number of transactions that can be undone.
+    static constexpr std::size_t max_undone_transactions = 4096;
+
     /// Applies all writes, or none if a condition does not hold.
     /// @return true if the writes were applied
     bool commit(const std::vector<row_condition>& conditions, const std::vector<row_write>& writes);
 
+    /// Applies writes of the operator or the runners, which a restored copy does not lose for good.
+    void write_externally(const std::vector<row_write>& writes);
+
+    /// Returns to the state at an earlier version, or to the oldest one that is known. Later
+    /// versions are given out again, in a new era.
+    /// @return the undone writes of the operator and the runners, by transaction, oldest first
+    std::vector<std::vector<row_write>> restore(std::uint64_t version);
+
     /// Reads a part of a table, in the order of its keys.
     /// @param first_key key to start from
     /// @param max_rows maximum number of rows to return
@@ -46,7 +59,7 @@
                                              std::size_t max_rows) const;
 
     /// @return the changes to a table after a version, empty if the history does not reach back to
-    ///         this version
+    ///         this version or the version does not exist
     [[nodiscard]] std::optional<replica::table_update> changes(const std::string& table,
                                                                std::uint64_t after) const;
 
@@ -54,14 +67,30 @@
     void drop_history();
 
     [[nodiscard]] std::uint64_t version() const { return version_; }
+    /// @return 1, plus the number of times that a copy was restored
+    [[nodiscard]] std::uint64_t era() const { return era_; }
 
   private:
     using row_key = std::pair<std::string, std::string>;
 
+    /// A transaction with what is needed to undo it.
+    struct transaction {
+        std::uint64_t version;
+        bool external;
+        std::vector<row_write> writes;
+        /// Replaced rows in the order of the writes, empty if there was none.
+        std::vector<std::pair<row_key, std::optional<replica::row>>> replaced;
+    };
+
     std::map<row_key, replica::row> rows_;
     std::vector<std::pair<std::string, replica::row>> history_;
+    std::deque<transaction> transactions_;
     std::uint64_t version_ = 0;
     std::uint64_t history_start_ = 0;
+    std::uint64_t era_ = 1;
+
+    void apply(const std::vector<row_write>& writes, bool external);
+    void undo(const transaction& undone);
 };
 
 } // namespace cyclamen::standin
--- a/src/standin/row_store_task.cpp
+++ b/src/standin/row_store_task.cpp
@@ -1,6 +1,9 @@
 #include "standin/row_store_task.hpp"
 
+#include <algorithm>
 #include <charconv>
+#include <iterator>
+#include <utility>
 
 #include <absl/strings/escaping.h>
 #include <nlohmann/json.hpp>
@@ -22,6 +25,7 @@
 constexpr int status_condition_failed = 412;
 constexpr int status_unavailable = 503;
 constexpr int slow_factor = 50;
+constexpr const char* era_header = "Store-Era";
 
 std::string percent_decode(std::string_view text)
 {
@@ -124,7 +128,7 @@
         waiting_feeds_.clear();
         server_.reset();
     }
-    else if (was_down) {
+    else if (was_down && !away_) {
         if (const absl::Status listening = listen(); !listening.ok()) {
             core::log_event(core::log_level::error, "store_not_listening",
                             {{"reason", std::string{listening.message()}}});
@@ -135,8 +139,78 @@
 
 void row_store_task::handle(const write_rows& command)
 {
-    rows_.commit({}, command.writes);
+    if (pending_rewrites_ > 0) {
+        unwritten_.push_back(command.writes);
+        return;
+    }
+    rows_.write_externally(command.writes);
+    record_version();
+    answer_waiting_feeds();
+}
+
+void row_store_task::handle(const restore_copy& command)
+{
+    // Rows that wait for an earlier copy's rewrites are newer than those that this copy loses.
+    std::vector<std::vector<row_write>> lost = rows_.restore(version_at(now() - command.age));
+    std::move(unwritten_.begin(), unwritten_.end(), std::back_inserter(lost));
+    unwritten_.swap(lost);
+    while (!version_times_.empty() && version_times_.back().version > rows_.version()) {
+        version_times_.pop_back();
+    }
+    ++pending_rewrites_;
+    if (command.away == core::duration::zero()) {
+        come_back(command.rewrite_delay);
+        return;
+    }
+    away_ = true;
+    waiting_feeds_.clear();
+    server_.reset();
+    loop().run_after(command.away, [this, delay = command.rewrite_delay] { come_back(delay); });
+}
+
+void row_store_task::come_back(core::duration rewrite_delay)
+{
+    away_ = false;
+    if (fault_ != row_store_fault::down && server_ == nullptr) {
+        if (const absl::Status listening = listen(); !listening.ok()) {
+            core::log_event(core::log_level::error, "store_not_listening",
+                            {{"reason", std::string{listening.message()}}});
+        }
+    }
     answer_waiting_feeds();
+    loop().run_after(rewrite_delay, [this] { rewrite_rows(); });
+}
+
+void row_store_task::rewrite_rows()
+{
+    if (--pending_rewrites_ > 0) {
+        return;
+    }
+    for (const std::vector<row_write>& writes : std::exchange(unwritten_, {})) {
+        rows_.write_externally(writes);
+        record_version();
+    }
+    answer_waiting_feeds();
+}
+
+void row_store_task::record_version()
+{
+    version_times_.push_back(version_time{rows_.version(), now()});
+    if (version_times_.size() > row_store::max_undone_transactions) {
+        version_times_.pop_front();
+    }
+}
+
+std::uint64_t row_store_task::version_at(core::instant time) const
+{
+    std::uint64_t version = 0;
+    for (const version_time& each : version_times_) {
+        if (each.reached > time) {
+            break;
+        }
+        version = each.version;
+    }
+    return version;
 }
 
 void row_store_task::handle(const drop_history& /*command*/)
@@ -206,6 +280,9 @@
         }
     }
     const bool applied = rows_.commit(conditions, writes);
+    if (applied) {
+        record_version();
+    }
     if (fault_ == row_store_fault::losing) {
         server_->abort(exchange);
     }
@@ -293,10 +370,12 @@
 {
     const core::duration delay =
         settings_.latency * (fault_ == row_store_fault::slow ? slow_factor : 1);
-    loop().run_after(delay, [this, exchange, status, body = std::move(body)] {
+    const std::string era = std::to_string(rows_.era());
+    loop().run_after(delay, [this, exchange, status, era, body = std::move(body)] {
         if (server_ != nullptr && fault_ != row_store_fault::silent) {
             server_->respond(exchange,
-                             http::response_head{status, {{"content-type", "application/json"}}},
+                             http::response_head{
+                                 status, {{"content-type", "application/json"}, {era_header, era}}},
                              body);
         }
     });
--- a/src/standin/row_store_task.hpp
+++ b/src/standin/row_store_task.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -60,8 +61,21 @@
     auto operator<=>(const drop_history&) const = default;
 };
 
+/// Takes the store away and lets it come back from a copy in a new era. Rows that the operator and
+/// the runners wrote since the copy are written again, as new transactions.
+struct restore_copy {
+    /// Age of the copy at the moment at which the store goes away.
+    const core::duration age;
+    /// Time during which connections are refused; 0 if the store stays reachable.
+    const core::duration away;
+    /// Time from the return of the store until the rows are written again.
+    const core::duration rewrite_delay = std::chrono::milliseconds{100};
+
+    auto operator<=>(const restore_copy&) const = default;
+};
+
 /// Messages to the stand-in store.
-using row_store_message = std::variant<set_row_store_fault, write_rows, drop_history>;
+using row_store_message = std::variant<set_row_store_fault, write_rows, drop_history, restore_copy>;
 
 /// Stand-in for the row store that the code in `platform/` uses: conditional transactions, reads
 /// and feeds of rows.
@@ -83,8 +97,21 @@
         task::timer_id timer;
     };
 
+    /// Time at which a version was reached.
+    struct version_time {
+        std::uint64_t version;
+        core::instant reached;
+    };
+
     const row_store_settings settings_;
     row_store rows_;
+    std::deque<version_time> version_times_;
+    /// True while the store is away, until it returns from a copy.
+    bool away_ = false;
+    /// Number of restored copies whose lost rows have not been written again yet.
+    std::size_t pending_rewrites_ = 0;
+    /// Writes of the operator and the runners that follow on those rewrites.
+    std::vector<std::vector<row_write>> unwritten_;
     std::unique_ptr<http::server> server_;
     row_store_fault fault_ = row_store_fault::none;
     std::map<http::exchange_id, feed_call> waiting_feeds_;
@@ -97,6 +124,11 @@
     void handle(const set_row_store_fault& command);
     void handle(const write_rows& command);
     void handle(const drop_history& command);
+    void handle(const restore_copy& command);
+    void come_back(core::duration rewrite_delay);
+    void rewrite_rows();
+    void record_version();
+    [[nodiscard]] std::uint64_t version_at(core::instant time) const;
 
     void on_request(http::exchange_id exchange, const http::request& request) override;
     void on_disconnect(http::exchange_id exchange) override;
