--- a/tests/standin/row_store_test.cpp
+++ b/tests/standin/row_store_test.cpp
@@ -25,7 +25,8 @@
 
     void send(standin::row_store_message message)
     {
-        BOOST_REQUIRE(store_.inbox()->post(std::move(message)).ok());
+        const absl::Status posted = store_.inbox()->post(std::move(message));
+        BOOST_REQUIRE(posted.ok());
         std::this_thread::sleep_for(20ms);
     }
 
