The soak restores the store from a copy

A new kind of fault: the store is away for the fault's length and comes back from a copy that is one to ten seconds old; the rows of the operator and the runners follow up to 1.5 s later. The guarantees are unchanged.

--- a/src/soak/fault_effects.cpp
+++ b/src/soak/fault_effects.cpp
@@ -7,6 +7,15 @@
 using standin::row_store_fault;
 using standin::runner_fault;
 
+namespace {
+
+constexpr std::chrono::milliseconds min_copy_age{1'000};
+constexpr std::chrono::milliseconds max_copy_age{10'000};
+/// Longest time until the rows of the operator and the runners are back.
+constexpr std::chrono::milliseconds max_rewrite_delay{1'500};
+
+} // namespace
+
 proxy_mode proxy_mode_for(fault_kind kind)
 {
     switch (kind) {
@@ -50,4 +59,13 @@
     return faults.at(kind);
 }
 
+standin::restore_copy copy_for(const planned_fault& fault)
+{
+    const std::chrono::milliseconds age =
+        min_copy_age +
+        std::chrono::milliseconds{fault.subject % (max_copy_age - min_copy_age).count()};
+    const std::chrono::milliseconds delay{fault.subject % max_rewrite_delay.count()};
+    return standin::restore_copy{age, fault.length, delay};
+}
+
 } // namespace cyclamen::soak
--- a/src/soak/fault_effects.hpp
+++ b/src/soak/fault_effects.hpp
@@ -22,4 +22,8 @@
 /// @return the fault of the stand-in store
 [[nodiscard]] standin::row_store_fault store_fault_for(fault_kind kind);
 
+/// @param fault a restore of the store
+/// @return the copy from which the stand-in store comes back, and how long it is away
+[[nodiscard]] standin::restore_copy copy_for(const planned_fault& fault);
+
 } // namespace cyclamen::soak
--- a/src/soak/fault_plan.hpp
+++ b/src/soak/fault_plan.hpp
@@ -46,11 +46,13 @@
     runner_ambiguous,
     /// A new configuration revision with one more route.
     configured,
+    /// The store is away for the length of the fault and comes back from a copy.
+    store_restored,
 };
 
 /// Number of fault kinds.
 inline constexpr std::uint32_t fault_kind_count =
-    static_cast<std::uint32_t>(fault_kind::configured) + 1;
+    static_cast<std::uint32_t>(fault_kind::store_restored) + 1;
 
 /// @return the name of a fault kind, for reports
 [[nodiscard]] std::string_view to_text(fault_kind kind);
--- a/src/soak/soak.cpp
+++ b/src/soak/soak.cpp
@@ -334,6 +334,11 @@
         case fault_kind::history_dropped:
             post_message(store_->inbox(), standin::row_store_message{standin::drop_history{}});
             return fault.length;
+        case fault_kind::store_restored: {
+            const standin::restore_copy copy = copy_for(fault);
+            post_message(store_->inbox(), standin::row_store_message{copy});
+            return copy.away + copy.rewrite_delay;
+        }
         case fault_kind::configured:
             configure();
             update_callers(sending_allowed_);
