A leaving instance passes on only what it can answer, and answers what is open before it ends

What callers saw: in a planned stop, plain requests that came late in the grace were taken and passed on; when the drain limit passed, the process ended and closed their connections without an answer. So did requests that were open since before the stop. Streams still without an answer were closed in the same way.

Cause: only streams were refused while the instance left. Plain requests were passed on whatever time was left. At the drain limit the chart entry_life went straight to its end. A request that was read after that end was treated as if the instance had never left, streams included, and was passed on as well.

Change: entry_lifecycle knows how long a request that is accepted now may take. One whose time limit is longer is refused at once as not run, with Retry-After and `connection: close`. The last 200 ms of the drain limit are the new state `closing`: connections are refused, open requests get a 504, which promises nothing, and answers that have begun are cut. The end of the process stays where it was.

Why it works: whatever is passed on while leaving reaches its own time limit before `closing` begins, and what is older is answered in it.

--- a/src/relay/entry_lifecycle.cpp
+++ b/src/relay/entry_lifecycle.cpp
@@ -1,15 +1,17 @@
 #include "relay/entry_lifecycle.hpp"
 
+#include <algorithm>
+
 namespace cyclamen::relay {
 
 const chart::vocabulary& entry_lifecycle_vocabulary()
 {
     static const chart::vocabulary words{
-        {"ready", "stop_ordered", "lingered", "idle_check_due", "drain_overdue"},
+        {"ready", "stop_ordered", "lingered", "idle_check_due", "drain_overdue", "closing_ended"},
         {"work_open"},
         {"announce_serving", "announce_leaving", "refuse_connections", "note_cut_work",
-         "end_process"},
-        {"linger_time", "idle_check", "drain_limit"}};
+         "fail_open_requests", "end_process"},
+        {"linger_time", "idle_check", "drain_limit", "closing_time"}};
     return words;
 }
 
@@ -41,6 +43,17 @@
     }
 }
 
+std::optional<core::duration> entry_lifecycle::time_for_requests(core::instant now) const
+{
+    if (machine_.is_final()) {
+        return core::duration::zero();
+    }
+    if (!work_ends_at_.has_value()) {
+        return std::nullopt;
+    }
+    return std::max(*work_ends_at_ - now, core::duration::zero());
+}
+
 bool entry_lifecycle::holds(chart::symbol /*guard*/) const
 {
     return host_.has_work();
@@ -61,6 +74,9 @@
     case entry_lifecycle_action::note_cut_work:
         work_cut_ = host_.has_work();
         break;
+    case entry_lifecycle_action::fail_open_requests:
+        host_.fail_open_requests();
+        break;
     case entry_lifecycle_action::end_process:
         host_.end_process(work_cut_);
         break;
@@ -69,16 +85,28 @@
 
 void entry_lifecycle::start_timer(chart::state_timeout timeout)
 {
-    core::duration length = settings_.linger_time;
-    if (static_cast<entry_lifecycle_timeout>(timeout.timeout) ==
-        entry_lifecycle_timeout::idle_check) {
-        length = settings_.idle_check;
-    }
+    const core::instant due =
+        now_ + duration_of(static_cast<entry_lifecycle_timeout>(timeout.timeout));
     if (static_cast<entry_lifecycle_timeout>(timeout.timeout) ==
         entry_lifecycle_timeout::drain_limit) {
-        length = settings_.drain_limit;
+        work_ends_at_ = due;
+    }
+    timers_.start(timeout, due);
+}
+
+core::duration entry_lifecycle::duration_of(entry_lifecycle_timeout timeout) const
+{
+    switch (timeout) {
+    case entry_lifecycle_timeout::linger_time:
+        return settings_.linger_time;
+    case entry_lifecycle_timeout::idle_check:
+        return settings_.idle_check;
+    case entry_lifecycle_timeout::drain_limit:
+        return settings_.drain_limit - settings_.closing_time;
+    case entry_lifecycle_timeout::closing_time:
+        return settings_.closing_time;
     }
-    timers_.start(timeout, now_ + length);
+    return core::duration::zero();
 }
 
 void entry_lifecycle::stop_timer(chart::state_timeout timeout)
--- a/src/relay/entry_lifecycle.hpp
+++ b/src/relay/entry_lifecycle.hpp
@@ -16,6 +16,7 @@
     lingered,
     idle_check_due,
     drain_overdue,
+    closing_ended,
 };
 
 /// Guards of the chart `entry_life`.
@@ -27,11 +28,17 @@
     announce_leaving,
     refuse_connections,
     note_cut_work,
+    fail_open_requests,
     end_process,
 };
 
 /// Timeouts of the chart `entry_life`.
-enum class entry_lifecycle_timeout : chart::symbol { linger_time, idle_check, drain_limit };
+enum class entry_lifecycle_timeout : chart::symbol {
+    linger_time,
+    idle_check,
+    drain_limit,
+    closing_time,
+};
 
 /// @return the events, guards, actions and timeouts of the chart `entry_life`
 [[nodiscard]] const chart::vocabulary& entry_lifecycle_vocabulary();
@@ -42,8 +49,11 @@
     const core::duration linger_time = std::chrono::milliseconds{2500};
     /// Interval at which the instance checks whether all requests have ended.
     const core::duration idle_check = std::chrono::milliseconds{200};
-    /// Time limit for open requests, which are aborted when it passes.
+    /// Time limit of the whole shutdown.
     const core::duration drain_limit = std::chrono::milliseconds{7500};
+    /// The last part of `drain_limit`, in which the requests that are still open are answered with
+    /// a failure.
+    const core::duration closing_time = std::chrono::milliseconds{200};
 
     auto operator<=>(const entry_lifecycle_settings&) const = default;
 };
@@ -58,6 +68,9 @@
     virtual void refuse_connections() = 0;
     [[nodiscard]] virtual bool has_work() const = 0;
 
+    /// Ends all open requests with a failure that doesn't say whether they have run.
+    virtual void fail_open_requests() = 0;
+
     /// The process may exit.
     /// @param work_cut true if requests were still open
     virtual void end_process(bool work_cut) = 0;
@@ -90,6 +103,11 @@
     /// @return true while the instance drains after a stop request
     [[nodiscard]] bool is_leaving() const { return machine_.is_in("leaving"); }
 
+    /// @return time in which a request that is accepted now must be answered, empty unless a stop
+    /// was
+    ///         ordered
+    [[nodiscard]] std::optional<core::duration> time_for_requests(core::instant now) const;
+
     /// @return true if this instance is listed as accepting requests
     [[nodiscard]] bool is_serving() const { return machine_.state_name() == "serving"; }
 
@@ -99,8 +117,11 @@
     entry_lifecycle_host& host_;
     chart::timer_set timers_;
     core::instant now_;
+    /// When open requests are ended; empty unless a stop was ordered.
+    std::optional<core::instant> work_ends_at_;
     bool work_cut_ = false;
 
+    [[nodiscard]] core::duration duration_of(entry_lifecycle_timeout timeout) const;
     [[nodiscard]] bool holds(chart::symbol guard) const override;
     void perform(chart::symbol action) override;
     void start_timer(chart::state_timeout timeout) override;
--- a/src/relay/relay_manager.cpp
+++ b/src/relay/relay_manager.cpp
@@ -96,8 +96,11 @@
                settings_.requests.retry_after);
         return;
     }
-    if (lifecycle_.is_leaving() && matched_route->kind == request_kind::streaming) {
-        // The stream might outlast the process; another instance can serve all of it.
+    const auto time_left = lifecycle_.time_for_requests(now_);
+    if (time_left.has_value() &&
+        (matched_route->kind == request_kind::streaming ||
+         std::min(submitted.timeout, matched_route->answer_limit) > *time_left)) {
+        // The request might outlast the process; another instance can serve all of it.
         refuse(submitted, core::error_kind::overloaded, "the instance is leaving",
                settings_.requests.retry_after);
         return;
@@ -445,6 +448,27 @@
     return !requests_.empty() || entry_busy_;
 }
 
+void relay_manager::fail_open_requests()
+{
+    for (auto it = requests_.begin(); it != requests_.end();) {
+        const request_number number = it->first;
+        relayed_request& open = *it->second;
+        ++it;
+        const caller_id caller = open.plan().submitted.caller;
+        core::log_event(core::log_level::warning, "request_overdue_at_shutdown",
+                        {{"request", open.plan().submitted.content->id}});
+        // Only the first of these commands that applies has an effect: an answer that has begun can
+        // only be cut.
+        host_.send(answer_refused{
+            caller, core::failure{core::error_kind::deadline_exceeded,
+                                  "the instance is shutting down; the request may have run", false,
+                                  settings_.requests.retry_after}});
+        host_.send(answer_cut{caller});
+        open.on_caller_gone(now_);
+        update_or_remove(number);
+    }
+}
+
 void relay_manager::end_process(bool work_cut)
 {
     core::log_event(core::log_level::info, "instance_ended", {{"work_cut", work_cut}});
--- a/src/relay/relay_manager.hpp
+++ b/src/relay/relay_manager.hpp
@@ -181,6 +181,7 @@
     void announce(bool serving) override;
     void refuse_connections() override;
     [[nodiscard]] bool has_work() const override;
+    void fail_open_requests() override;
     void end_process(bool work_cut) override;
 };
 
--- a/tests/platform/instance_test.cpp
+++ b/tests/platform/instance_test.cpp
@@ -116,6 +116,11 @@
         return result.ok() ? *result : http::request_result{{}, 0, "", "cut"};
     }
 
+    void request_stop() { instance_->request_stop(); }
+
+    /// @return true if the instance asks its owner to end the process within the limit
+    bool await_end(core::duration limit) { return left_->take(limit).has_value(); }
+
     /// @return all bytes that follow on a request's bytes until the connection is closed
     std::string send_raw(const std::string& bytes) { return test::exchange_raw(entry_, bytes); }
 
@@ -167,6 +172,8 @@
          "goal_ms":1500,"priority":1,"backend":"engines","attempts":3,"public":true,
          "resumable":true,"gap_target_ms":700},
         {"name":"u","host":"test.example","prefix":"/u/","kind":"unsafe","timeout_ms":800,
+         "goal_ms":300,"priority":2,"backend":"desk","attempts":1,"public":true},
+        {"name":"l","host":"test.example","prefix":"/long/","kind":"unsafe","timeout_ms":5000,
          "goal_ms":300,"priority":2,"backend":"desk","attempts":1,"public":true}],
         "backends":[{"name":"engines","health_path":"/healthz","engine":{"slots":64,
           "kv_capacity_tokens":1000000,"backups":true,"moves":false,"models":[{"name":"m"}]}},
@@ -398,3 +405,27 @@
         BOOST_TEST(log.contains("outcome=cut"), what);
     }
 }
+
+BOOST_AUTO_TEST_CASE(requests_around_a_planned_stop_get_an_answer_that_is_true)
+{
+    captured_log log;
+    platform_fixture fixture;
+    const std::string head = "POST /long/x HTTP/1.1\r\nHost: test.example\r\n"
+                             "X-Cyclamencourse-Deadline-Ms: 5000\r\nContent-Length: 4\r\n"
+                             "X-Cyclamencourse-Request-Id: ";
+    fixture.inject_fault("desk", runner_fault::dark);
+    std::string before;
+    std::thread caller{[&] { before = fixture.send_raw(head + "before\r\n\r\nbody"); }};
+    std::this_thread::sleep_for(200ms);
+    fixture.request_stop();
+    std::this_thread::sleep_for(500ms);
+    const std::string late = fixture.send_raw(head + "late\r\n\r\nbody");
+    BOOST_TEST(late.starts_with("HTTP/1.1 503"));
+    BOOST_TEST(late.find("retry-after: ") != std::string::npos);
+    BOOST_TEST(late.find("connection: close") != std::string::npos);
+    BOOST_TEST(log.count("event=attempt_opened request=late") == 0U);
+    // The settings let the platform kill the process 3 s after the stop.
+    BOOST_TEST(fixture.await_end(3s));
+    caller.join();
+    BOOST_TEST(before.starts_with("HTTP/1.1 504"));
+}
