A leaving instance of the own front refuses calls

What callers saw: calls to services that came after the stop were taken and passed on; the process could end while they ran, a second after the last answer or at the drain limit, so that calls that may not be repeated ended with an unknown outcome or without an answer.

Cause: the front task asked whether the instance accepts work for generations only. Calls reached the decision task in every state, `departing` included, and its end doesn't wait for them.

Evidence, tests/instance/call_test on the code before:

error: in "a_leaving_instance_passes_on_no_call_that_its_end_would_cut": check refused.status == 503 has failed [502 != 503] "code":"outcome_unknown" ... "not_run":false check fixture.runs().empty() has failed

Change: the front task refuses calls as not run, with the other instance to use, from the moment at which it is told that the instance leaves. It says so of the request that is refused, as docs/design-call.md defines it for keyed calls. Nothing is passed on after that, and the work_finished that ends the instance counts open exchanges, so earlier calls are still waited for.

--- a/src/http/front_task.cpp
+++ b/src/http/front_task.cpp
@@ -129,6 +129,11 @@
 
 void front_task::on_call(exchange_id exchange, const request& received)
 {
+    const api::admission& current = admission_.get();
+    if (current.notify_when_idle && current.refusal.has_value()) {
+        reject(exchange, *current.refusal);
+        return;
+    }
     const auto decoded = decode_call_request(to_caller(exchange), received);
     if (!decoded.ok()) {
         reject(exchange, core::to_failure(decoded.status(), true));
--- a/tests/instance/call_test.cpp
+++ b/tests/instance/call_test.cpp
@@ -271,3 +271,21 @@
         BOOST_TEST(count == 1U, key);
     }
 }
+
+BOOST_AUTO_TEST_CASE(a_leaving_instance_passes_on_no_call_that_its_end_would_cut)
+{
+    call_fixture fixture;
+    fixture.fault(service_fault::paused_before);
+    fixture.instances.front()->request_stop();
+    std::this_thread::sleep_for(100ms);
+    for (const std::string key : {"k", ""}) {
+        const auto refused = fixture.call(0, key);
+        BOOST_TEST(refused.status == 503);
+        BOOST_TEST(says_not_run(refused), refused.body);
+    }
+    const auto left = fixture.instances.front()->wait_left(10s);
+    BOOST_REQUIRE(left.has_value());
+    BOOST_TEST(!left->work_cut);
+    fixture.fault(service_fault::none);
+    BOOST_TEST(fixture.runs().empty());
+}
