Tests: an answer that is cut in its head is never complete

A report of another operator: a runner stopped in the middle of its answer's head and closed; callers got a 200 with an empty or short body, framed as whole. It can't happen here, and these tests pass on the code before as well:

- RapidCheck: of a response with a length, chunks, trailers, an empty body or no length, after interim responses, no proper prefix is complete after a close; without a length, none that ends before the head does.
- The client, over sockets: each prefix of a head after a 100 Continue, ended by a close and by a reset.
- An instance, over sockets: plain answers and streams whose head is cut in the status line, in a field, before the blank line and in an interim response get 502; the same head, once whole, is a success.

raw_server moves to tests/support, as two test programs use it.

--- a/tests/http/client_test.cpp
+++ b/tests/http/client_test.cpp
@@ -1,72 +1,15 @@
-#include <arpa/inet.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
-#include <atomic>
 #include <string>
-#include <thread>
 
 #include <boost/test/unit_test.hpp>
 
 #include "http/buffered_client.hpp"
-#include "support/ports.hpp"
+#include "support/raw_server.hpp"
 
 using namespace cyclamen;
 using namespace std::chrono_literals;
 
 namespace {
 
-/// A server that writes bytes without regard to the requests that it receives.
-class raw_server {
-  public:
-    /// @param begin written first on each connection
-    /// @param repeated then written until the peer closes; empty to write nothing more
-    raw_server(std::string begin, std::string repeated)
-        : begin_{std::move(begin)}, repeated_{std::move(repeated)}
-    {
-        sockaddr_in bound{};
-        bound.sin_family = AF_INET;
-        bound.sin_port = htons(address.port);
-        ::inet_pton(AF_INET, address.ip.c_str(), &bound.sin_addr);
-        BOOST_REQUIRE(::bind(listener_, reinterpret_cast<const sockaddr*>(&bound), sizeof(bound)) ==
-                      0);
-        BOOST_REQUIRE(::listen(listener_, 8) == 0);
-        thread_ = std::thread{[this] { run(); }};
-    }
-    ~raw_server()
-    {
-        ::shutdown(listener_, SHUT_RDWR);
-        thread_.join();
-        ::close(listener_);
-    }
-    raw_server(const raw_server&) = delete;
-    raw_server& operator=(const raw_server&) = delete;
-
-    const core::socket_address address = test::free_address();
-    std::atomic<int> connections = 0;
-
-  private:
-    const std::string begin_;
-    const std::string repeated_;
-    const int listener_ = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    std::thread thread_;
-
-    void run()
-    {
-        for (int fd = ::accept(listener_, nullptr, nullptr); fd >= 0;
-             fd = ::accept(listener_, nullptr, nullptr)) {
-            ++connections;
-            std::string request(4096, ' ');
-            (void)::recv(fd, request.data(), request.size(), 0);
-            bool open = ::send(fd, begin_.data(), begin_.size(), MSG_NOSIGNAL) >= 0;
-            while (open && !repeated_.empty()) {
-                open = ::send(fd, repeated_.data(), repeated_.size(), MSG_NOSIGNAL) > 0;
-            }
-            ::close(fd);
-        }
-    }
-};
-
 /// A client with its event loop.
 class blocking_client {
   public:
@@ -112,7 +55,7 @@
              {"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3;", noise},
              {"", noise},
              {"", "HTTP/1.1 100 Continue\r\n\r\n"}}) {
-        raw_server server{begin, repeated};
+        test::raw_server server{begin, repeated};
         blocking_client client;
         const auto result = client.fetch(server.address);
         BOOST_TEST(!result.ok());
@@ -123,7 +66,7 @@
 BOOST_AUTO_TEST_CASE(a_refusal_that_is_written_twice_is_no_answer_to_a_later_request)
 {
     const std::string refusal = "HTTP/1.1 503 Busy\r\ncontent-length: 0\r\n\r\n";
-    raw_server server{refusal + refusal, ""};
+    test::raw_server server{refusal + refusal, ""};
     blocking_client client;
     for (int i = 1; i <= 3; ++i) {
         BOOST_TEST(client.fetch(server.address).ok());
@@ -131,3 +74,31 @@
         BOOST_TEST(server.connections == i);
     }
 }
+
+BOOST_AUTO_TEST_CASE(a_response_cut_in_its_head_fails_whether_the_connection_is_closed_or_reset)
+{
+    const std::string head = "HTTP/1.1 100 Continue\r\n\r\n"
+                             "HTTP/1.1 200 OK\r\ncontent-length: 0\r\nseal: 3e1b\r\n\r\n";
+    for (const bool resets : {false, true}) {
+        for (std::size_t length = 0; length < head.size(); ++length) {
+            test::raw_server server{head.substr(0, length), "", resets};
+            blocking_client client;
+            BOOST_TEST(!client.fetch(server.address).ok(),
+                       "cut after " << length << (resets ? ", reset" : ", closed"));
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_response_without_a_length_is_whole_if_closed_after_its_head_and_not_if_reset)
+{
+    for (const std::string body : {"", "part"}) {
+        const std::string sent = "HTTP/1.1 200 OK\r\nseal: 3e1b\r\n\r\n" + body;
+        test::raw_server closing{sent, ""};
+        blocking_client client;
+        const auto whole = client.fetch(closing.address);
+        BOOST_REQUIRE(whole.ok());
+        BOOST_TEST(whole->body == body);
+        test::raw_server resetting{sent, "", true};
+        BOOST_TEST(!client.fetch(resetting.address).ok());
+    }
+}
--- a/tests/http/message_reader_test.cpp
+++ b/tests/http/message_reader_test.cpp
@@ -1,6 +1,7 @@
 #include "http/message_reader.hpp"
 
 #include <boost/test/unit_test.hpp>
+#include <fmt/format.h>
 
 #include <rapidcheck/boost_test.h>
 
@@ -51,6 +52,83 @@
     BOOST_TEST(is_whole("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n"));
 }
 
+namespace {
+
+/// A response and the number of its first bytes that a close may follow, 0 if only its end may.
+struct sample_response {
+    std::string bytes;
+    std::size_t whole_from = 0;
+};
+
+/// @return a valid response of any framing that the reader knows, after any interim responses
+sample_response draw_response()
+{
+    std::string bytes;
+    const int interim = *rc::gen::inRange(0, 3);
+    for (int i = 0; i < interim; ++i) {
+        bytes += *rc::gen::element<std::string>(
+            "HTTP/1.1 100 Continue\r\n\r\n",
+            "HTTP/1.1 103 Early Hints\r\nlink: </a>\r\ncontent-length: 0\r\n\r\n");
+    }
+    const std::string fields = *rc::gen::element<std::string>(
+        "", "x-cyclamencourse-response-seal: 3e1b.07\r\n", "a: \r\nb:c\r\n");
+    const std::string body(static_cast<std::size_t>(*rc::gen::inRange(1, 40)), 'b');
+    const std::string status = *rc::gen::element<std::string>("200 OK", "500 Failed", "200 ");
+    bytes += "HTTP/1.1 " + status + "\r\n" + fields;
+    switch (*rc::gen::inRange(0, 4)) {
+    case 0:
+        bytes += "content-length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+        return {bytes};
+    case 1:
+        bytes += "transfer-encoding: chunked\r\n\r\n1\r\na\r\n" + fmt::format("{:x}", body.size()) +
+                 ";x=y\r\n" + body + "\r\n0\r\n" + (*rc::gen::arbitrary<bool>() ? "t: v\r\n" : "") +
+                 "\r\n";
+        return {bytes};
+    case 2:
+        bytes += "content-length: 0\r\n\r\n";
+        return {bytes};
+    default:
+        bytes += "\r\n";
+        return {bytes + body, bytes.size()};
+    }
+}
+
+} // namespace
+
+RC_BOOST_PROP(a_response_cut_anywhere_by_a_close_is_never_complete, ())
+{
+    const sample_response sent = draw_response();
+    RC_ASSERT(is_whole(sent.bytes));
+    const std::size_t whole_from = sent.whole_from == 0 ? sent.bytes.size() : sent.whole_from;
+    for (std::size_t length = 0; length < whole_from; ++length) {
+        const auto reader = read_until_close(std::string_view{sent.bytes}.substr(0, length));
+        RC_ASSERT(!reader->is_complete());
+        RC_ASSERT(!reader->error().ok());
+    }
+    for (std::size_t length = whole_from; length < sent.bytes.size(); ++length) {
+        // Only the close ends this response.
+        RC_ASSERT(is_whole(std::string_view{sent.bytes}.substr(0, length)));
+    }
+}
+
+RC_BOOST_PROP(a_response_cut_anywhere_without_a_close_is_never_complete, ())
+{
+    const sample_response sent = draw_response();
+    for (std::size_t length = 0; length < sent.bytes.size(); ++length) {
+        http::response_reader reader{false};
+        reader.feed(std::string_view{sent.bytes}.substr(0, length));
+        RC_ASSERT(!reader.is_complete());
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_length_whose_digits_are_cut_is_no_shorter_length)
+{
+    const std::string head = "HTTP/1.1 200 OK\r\ncontent-length: ";
+    for (const std::string rest : {"", "1", "12", "1\r", "1\r\n", "1\r\n\r", "0", "0\r\n"}) {
+        BOOST_TEST(!is_whole(head + rest));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_response_without_a_length_is_incomplete_until_the_connection_ends)
 {
     http::response_reader reader{false};
--- a/tests/platform/instance_test.cpp
+++ b/tests/platform/instance_test.cpp
@@ -12,6 +12,7 @@
 #include "standin/runner_task.hpp"
 #include "support/ports.hpp"
 #include "support/raw_exchange.hpp"
+#include "support/raw_server.hpp"
 #include "task/channel.hpp"
 
 using namespace cyclamen;
@@ -116,6 +117,26 @@
         return result.ok() ? *result : http::request_result{{}, 0, "", "cut"};
     }
 
+    /// Lists a target of a service and waits until the instance knows it.
+    void list_target(const std::string& name, const std::string& service,
+                     const core::socket_address& address)
+    {
+        const nlohmann::json row{{"backend", service}, {"address", core::to_string(address)},
+                                 {"zone", "a"},        {"version", "v1"},
+                                 {"slots", 64},        {"state", "ready"},
+                                 {"cold_left_ms", 0},  {"sequence", 1},
+                                 {"born", 1000}};
+        send_to_store(
+            standin::write_rows{{standin::row_write{"servers", name, row.dump(), false}}});
+        std::this_thread::sleep_for(400ms);
+    }
+
+    /// Removes a target from the list.
+    void remove_target(const std::string& name)
+    {
+        send_to_store(standin::write_rows{{standin::row_write{"servers", name, {}, true}}});
+    }
+
     void request_stop() { instance_->request_stop(); }
 
     /// @return true if the instance asks its owner to end the process within the limit
@@ -174,10 +195,16 @@
         {"name":"u","host":"test.example","prefix":"/u/","kind":"unsafe","timeout_ms":800,
          "goal_ms":300,"priority":2,"backend":"desk","attempts":1,"public":true},
         {"name":"l","host":"test.example","prefix":"/long/","kind":"unsafe","timeout_ms":5000,
-         "goal_ms":300,"priority":2,"backend":"desk","attempts":1,"public":true}],
+         "goal_ms":300,"priority":2,"backend":"desk","attempts":1,"public":true},
+        {"name":"r","host":"test.example","prefix":"/raw/","kind":"unsafe","timeout_ms":2000,
+         "goal_ms":300,"priority":2,"backend":"raw","attempts":1,"public":true},
+        {"name":"t","host":"test.example","prefix":"/raw-stream/","kind":"streaming",
+         "timeout_ms":2000,"goal_ms":1500,"priority":1,"backend":"raw","attempts":1,"public":true,
+         "resumable":true,"gap_target_ms":700}],
         "backends":[{"name":"engines","health_path":"/healthz","engine":{"slots":64,
           "kv_capacity_tokens":1000000,"backups":true,"moves":false,"models":[{"name":"m"}]}},
-          {"name":"desk","health_path":"/healthz"}],
+          {"name":"desk","health_path":"/healthz"},
+          {"name":"raw","health_path":"/healthz"}],
         "limits":{"max_header_bytes":16384,"max_body_bytes":100000,"header_timeout_ms":3000,
                   "idle_timeout_ms":15000}})";
 
@@ -429,3 +456,37 @@
     caller.join();
     BOOST_TEST(before.starts_with("HTTP/1.1 504"));
 }
+
+BOOST_AUTO_TEST_CASE(an_answer_whose_head_is_cut_never_reaches_the_caller_as_a_success)
+{
+    platform_fixture fixture;
+    const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+    const std::string head = "HTTP/1.1 200 OK\r\nX-Cyclamencourse-Request-Id: cut\r\n"
+                             "X-Cyclamencourse-Response-Seal: seal\r\nContent-Length: 0\r\n";
+    int number = 0;
+    for (const std::string& sent : {std::string{"HTTP/1.1 200 O"}, head.substr(0, 17),
+                                    head.substr(0, 30), head.substr(0, head.size() - 2), head,
+                                    head + "\r", interim + head, interim.substr(0, 23)}) {
+        for (const bool resets : {false, true}) {
+            for (const std::string path : {"/raw/x", "/raw-stream/x"}) {
+                const std::string name = "raw-" + std::to_string(++number);
+                test::raw_server target{sent, "", resets};
+                fixture.list_target(name, "raw", target.address);
+                const std::string received = fixture.send_raw(
+                    "POST " + path +
+                    " HTTP/1.1\r\nHost: test.example\r\nConnection: close\r\n"
+                    "X-Cyclamencourse-Request-Id: cut\r\nX-Cyclamencourse-Deadline-Ms: 1500\r\n"
+                    "Content-Length: 4\r\n\r\nbody");
+                fixture.remove_target(name);
+                const std::string what = path + " after '" + sent + "'" + (resets ? ", reset" : "");
+                BOOST_TEST(target.connections >= 1, what);
+                BOOST_TEST(received.starts_with("HTTP/1.1 502"), what + ": " + received);
+                BOOST_TEST(received.find("HTTP/1.1 2") == std::string::npos, what);
+            }
+        }
+    }
+    // The same head is a success once it is whole.
+    test::raw_server target{head + "\r\n", ""};
+    fixture.list_target("raw-whole", "raw", target.address);
+    BOOST_TEST((fixture.send("cut", "/raw/x", false).status == 200));
+}
