The stand-in's table can return to an earlier state; answers of the table service carry its era

Each restore begins an era, a field of every answer of the table service; a row version is a pair of era and number. An absent era is 0.

--- a/src/api/table_messages.hpp
+++ b/src/api/table_messages.hpp
@@ -18,8 +18,41 @@
 /// Number of a request of one instance to the table service.
 using table_request = core::number<struct table_request_tag>;
 
-/// Version of a row, incremented by each write; 0 means that the row is absent.
-using row_version = core::number<struct row_version_tag>;
+/// Rises each time the table service returns from a copy of an earlier state and thereby loses what
+/// it had acknowledged since; always 0 for a service that never does.
+using table_era = core::number<struct table_era_tag>;
+
+/// Version of a row: a number that each write increments, within one era of the table. A restored
+/// table gives out the numbers of lost writes again, so that only versions of one era have an
+/// order.
+class row_version {
+  public:
+    /// Version of a row that is absent, as of no particular era.
+    constexpr row_version() = default;
+
+    /// @param number number of writes of the row; 0 means that the row is absent
+    /// @param era era of the table in which the row has this version
+    explicit constexpr row_version(std::uint64_t number, table_era era = {})
+        : era_{era}, number_{number}
+    {
+    }
+
+    /// @return number of writes of the row
+    [[nodiscard]] constexpr std::uint64_t value() const { return number_; }
+    /// @return era of the table in which the row has this version
+    [[nodiscard]] constexpr table_era era() const { return era_; }
+    /// @return true if the row is absent
+    [[nodiscard]] constexpr bool is_absent() const { return number_ == 0; }
+
+    /// @return version after another write in the same era
+    [[nodiscard]] constexpr row_version next() const { return row_version{number_ + 1, era_}; }
+
+    auto operator<=>(const row_version&) const = default;
+
+  private:
+    table_era era_;
+    std::uint64_t number_ = 0;
+};
 
 /// Identifies a row.
 struct row_key {
@@ -42,7 +75,8 @@
 struct row_write {
     const row_key key;
     const std::string value;
-    /// The version that the row must have (0: it must be absent); empty for an unconditional write.
+    /// The version that the row must have, in the era of that version; a row that must be absent
+    /// has number 0, and row_version{} holds in each era. Empty for an unconditional write.
     const std::optional<row_version> expected;
 
     auto operator<=>(const row_write&) const = default;
@@ -79,6 +113,8 @@
 /// The transaction was committed.
 struct table_committed {
     const table_request request;
+    /// Era of the table when it committed the transaction.
+    const table_era era{};
 
     auto operator<=>(const table_committed&) const = default;
 };
@@ -86,8 +122,11 @@
 /// A condition failed, so nothing was written.
 struct table_conflict {
     const table_request request;
-    /// Current state of the rows whose conditions failed; an absent row has version 0.
+    /// Current state of the rows whose conditions failed; an absent row has a version with number
+    /// 0.
     const std::vector<row> current;
+    /// Era of the table when it answered.
+    const table_era era{};
 
     auto operator<=>(const table_conflict&) const = default;
 };
@@ -96,6 +135,8 @@
 struct table_rows {
     const table_request request;
     const std::vector<row> rows;
+    /// Era of the table when it was read.
+    const table_era era{};
 
     auto operator<=>(const table_rows&) const = default;
 };
--- a/src/http/table_codec.cpp
+++ b/src/http/table_codec.cpp
@@ -54,27 +54,41 @@
     return body;
 }
 
-api::row decode_row(const document& body)
+/// @return the era of an answer or a condition; 0 for a service that never restores its table
+api::table_era decode_era(const document& body)
+{
+    return api::table_era{body.value("era", std::uint64_t{0})};
+}
+
+void encode_era(api::table_era era, document& body)
+{
+    if (era != api::table_era{}) {
+        body["era"] = era.value();
+    }
+}
+
+api::row decode_row(const document& body, api::table_era era)
 {
     return api::row{decode_key(body), from_base64(body.at("value").get<std::string>()),
-                    api::row_version{body.at("version").get<std::uint64_t>()}};
+                    api::row_version{body.at("version").get<std::uint64_t>(), era}};
 }
 
-std::string encode_rows(const std::vector<api::row>& rows)
+std::string encode_rows(const std::vector<api::row>& rows, api::table_era era)
 {
     document list = document::array();
     for (const api::row& row : rows) {
         list.push_back(encode_row(row));
     }
-    return document{{"rows", std::move(list)}}.dump();
+    document body{{"rows", std::move(list)}};
+    encode_era(era, body);
+    return body.dump();
 }
 
-std::vector<api::row> decode_rows(std::string_view body)
+std::vector<api::row> decode_rows(const document& body)
 {
     std::vector<api::row> rows;
-    const document parsed = document::parse(body);
-    for (const document& row : parsed.at("rows")) {
-        rows.push_back(decode_row(row));
+    for (const document& row : body.at("rows")) {
+        rows.push_back(decode_row(row, decode_era(body)));
     }
     return rows;
 }
@@ -92,6 +106,7 @@
         write["value"] = to_base64(row_write.value);
         if (row_write.expected.has_value()) {
             write["expected"] = row_write.expected->value();
+            encode_era(row_write.expected->era(), write);
         }
         writes.push_back(std::move(write));
     }
@@ -118,7 +133,8 @@
     for (const document& write : body.at("writes")) {
         std::optional<api::row_version> expected;
         if (write.contains("expected")) {
-            expected = api::row_version{write.at("expected").get<std::uint64_t>()};
+            expected =
+                api::row_version{write.at("expected").get<std::uint64_t>(), decode_era(write)};
         }
         writes.push_back(api::row_write{
             decode_key(write), from_base64(write.at("value").get<std::string>()), expected});
@@ -187,15 +203,17 @@
 std::string encode_table_event(const api::table_event& event)
 {
     if (const auto* conflict = std::get_if<api::table_conflict>(&event)) {
-        return encode_rows(conflict->current);
+        return encode_rows(conflict->current, conflict->era);
     }
     if (const auto* rows = std::get_if<api::table_rows>(&event)) {
-        return encode_rows(rows->rows);
+        return encode_rows(rows->rows, rows->era);
     }
     if (const auto* failed = std::get_if<api::table_failed>(&event)) {
         return document{{"error", failed->detail}}.dump();
     }
-    return "{}";
+    document body = document::object();
+    encode_era(std::get<api::table_committed>(event).era, body);
+    return body.dump();
 }
 
 api::table_event decode_table_event(const api::table_command& command, int status,
@@ -205,11 +223,14 @@
     const bool writes = std::holds_alternative<api::table_commit>(command);
     try {
         if (status == status_ok) {
-            return writes ? api::table_event{api::table_committed{number}}
-                          : api::table_event{api::table_rows{number, decode_rows(body)}};
+            const document answer = document::parse(body);
+            const api::table_era era = decode_era(answer);
+            return writes ? api::table_event{api::table_committed{number, era}}
+                          : api::table_event{api::table_rows{number, decode_rows(answer), era}};
         }
         if (status == status_conflict && writes) {
-            return api::table_conflict{number, decode_rows(body)};
+            const document answer = document::parse(body);
+            return api::table_conflict{number, decode_rows(answer), decode_era(answer)};
         }
     }
     catch (const document::exception& error) {
--- a/src/standin/platform_task.cpp
+++ b/src/standin/platform_task.cpp
@@ -1,5 +1,6 @@
 #include "standin/platform_task.hpp"
 
+#include <iterator>
 #include <map>
 
 #include <nlohmann/json.hpp>
@@ -21,6 +22,8 @@
 constexpr int status_unavailable = 503;
 constexpr std::string_view object_prefix = "/v1/objects/";
 constexpr std::string_view weight_prefix = "/v1/weights/";
+/// Greatest age of a state that the table can be restored to.
+constexpr core::duration max_restore_age = std::chrono::minutes{5};
 /// Leaves time to send the answer before a fault starts.
 constexpr core::duration fault_delay = std::chrono::milliseconds{10};
 
@@ -31,7 +34,8 @@
     static const std::map<std::string_view, platform_fault> kinds{
         {"none", platform_fault::none},         {"down", platform_fault::down},
         {"refusing", platform_fault::refusing}, {"silent", platform_fault::silent},
-        {"losing", platform_fault::losing},     {"slow", platform_fault::slow}};
+        {"losing", platform_fault::losing},     {"slow", platform_fault::slow},
+        {"restored", platform_fault::restored}};
     const auto found = kinds.find(text);
     return found == kinds.end() ? std::nullopt : std::optional{found->second};
 }
@@ -138,15 +142,23 @@
     const auto kind =
         body.is_object() ? parse_platform_fault(body.value("kind", "")) : std::nullopt;
     if (!kind.has_value()) {
-        answer(exchange, status_bad_request,
-               R"({"error":"unknown `kind`: use none, down, refusing, silent, losing or slow"})",
-               core::duration::zero());
+        answer(
+            exchange, status_bad_request,
+            R"({"error":"unknown `kind`: use none, down, refusing, silent, losing, slow or restored"})",
+            core::duration::zero());
         return;
     }
     answer(exchange, status_ok, "{}", core::duration::zero());
-    const set_platform_fault command{*kind, body.value("factor", 1.0)};
-    loop().run_after(fault_delay, [this, command] { apply(command); });
-    if (body.contains("for_ms") && body["for_ms"].is_number_unsigned()) {
+    const set_platform_fault command{*kind, body.value("factor", 1.0),
+                                     std::chrono::milliseconds{body.value("back_ms", 0U)}};
+    const bool has_length = body.contains("for_ms") && body["for_ms"].is_number_unsigned();
+    loop().run_after(fault_delay, [this, command, has_length] {
+        apply(command);
+        if (command.kind == platform_fault::restored && has_length) {
+            apply({platform_fault::down});
+        }
+    });
+    if (has_length) {
         const std::chrono::milliseconds length{body["for_ms"].get<std::uint32_t>()};
         loop().run_after(fault_delay + length, [this] { apply({platform_fault::none}); });
     }
@@ -161,6 +173,12 @@
         return;
     }
     const api::table_event event = table_.apply(*command);
+    transactions_at_.insert_or_assign(now(), table_.transactions());
+    // The last entry before the horizon still tells the state as of the horizon.
+    const auto after = transactions_at_.upper_bound(now() - max_restore_age);
+    if (after != transactions_at_.begin()) {
+        transactions_at_.erase(transactions_at_.begin(), std::prev(after));
+    }
     count_command(*command, event);
     if (fault_ == platform_fault::losing && std::holds_alternative<api::table_commit>(*command)) {
         loop().run_after(core::duration::zero(), [this, exchange] {
@@ -225,8 +243,25 @@
     answer(exchange, status_ok, document{{"instances", std::move(list)}}.dump(), settings_.latency);
 }
 
+void platform_task::restore_table(core::duration back)
+{
+    const auto after = transactions_at_.upper_bound(now() - back);
+    const std::uint64_t transactions =
+        after == transactions_at_.begin() ? 0 : std::prev(after)->second;
+    if (!table_.restore(transactions)) {
+        core::log_event(core::log_level::error, "stand_in_not_restored",
+                        {{"back_ms", core::to_milliseconds(back)}});
+        return;
+    }
+    transactions_at_.clear();
+    transactions_at_.emplace(now(), transactions);
+}
+
 void platform_task::apply(const set_platform_fault& command)
 {
+    if (command.kind == platform_fault::restored) {
+        restore_table(command.back);
+    }
     fault_ = command.kind;
     slowdown_ = command.kind == platform_fault::slow ? command.factor : 1.0;
     if (command.kind == platform_fault::down) {
--- a/src/standin/platform_task.hpp
+++ b/src/standin/platform_task.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <compare>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string_view>
@@ -44,6 +45,8 @@
     losing,
     /// Answers take longer by a factor.
     slow,
+    /// The table returns to an earlier state; what it has acknowledged since is lost.
+    restored,
 };
 
 /// Starts a fault of the platform, or ends it.
@@ -51,6 +54,8 @@
     const platform_fault kind;
     /// For `slow`: multiplies the delay of the answers.
     const double factor = 1.0;
+    /// For `restored`: age of the state that the table returns to.
+    const core::duration back{};
 
     auto operator<=>(const set_platform_fault&) const = default;
 };
@@ -81,6 +86,8 @@
   private:
     const platform_settings settings_;
     table::memory_table table_;
+    /// Number of transactions of the table as of an instant.
+    std::map<core::instant, std::uint64_t> transactions_at_;
     object_store objects_;
     weight_store weights_;
     instance_list instances_;
@@ -106,6 +113,7 @@
     void on_weights(http::exchange_id exchange);
     void on_instances(http::exchange_id exchange, const http::request& request);
     void apply(const set_platform_fault& command);
+    void restore_table(core::duration back);
 };
 
 } // namespace cyclamen::standin
--- a/src/table/table_client.cpp
+++ b/src/table/table_client.cpp
@@ -20,7 +20,8 @@
     if (const auto* failed = std::get_if<api::table_failed>(&event)) {
         return api::table_failed{request, failed->may_be_applied, failed->detail};
     }
-    return api::table_committed{request};
+    const auto* committed = std::get_if<api::table_committed>(&event);
+    return api::table_committed{request, committed == nullptr ? api::table_era{} : committed->era};
 }
 
 } // namespace
@@ -180,7 +181,7 @@
         }
         else {
             conflicts.emplace_back(pending.listener,
-                                   api::table_conflict{pending.request, std::move(own)});
+                                   api::table_conflict{pending.request, std::move(own), conflict.era});
         }
     }
     if (!unaffected.empty()) {
--- a/tests/table/memory_table_test.cpp
+++ b/tests/table/memory_table_test.cpp
@@ -49,11 +49,31 @@
                                              api::row{{"t", "b/2"}, "x", api::row_version{1}}}}}));
 }
 
+BOOST_AUTO_TEST_CASE(a_restored_table_has_lost_the_later_transactions_and_begins_an_era)
+{
+    table::memory_table table;
+    std::ignore = table.apply(api::table_commit{request_number, {write("a", "1")}});
+    std::ignore =
+        table.apply(api::table_commit{request_number, {write("a", "2"), write("b", "1")}});
+    std::ignore = table.apply(api::table_commit{request_number, {write("b", "2")}});
+    BOOST_TEST(!table.restore(4));
+    BOOST_TEST(table.restore(1));
+    BOOST_TEST(table.transactions() == 1U);
+    const api::table_era era{1};
+    BOOST_TEST((table.apply(api::table_scan{request_number, "t", ""}) ==
+                api::table_event{api::table_rows{
+                    request_number, {api::row{{"t", "a"}, "1", api::row_version{1, era}}}, era}}));
+    BOOST_TEST((table.apply(api::table_commit{request_number, {write("b", "3", 0)}}) ==
+                api::table_event{api::table_committed{request_number, era}}));
+}
+
 BOOST_AUTO_TEST_CASE(commands_and_answers_round_trip_through_the_codec)
 {
     const std::string bytes{"\0\xff binary", 9};
+    const api::table_era era{2};
     const api::table_commit commit{request_number,
                                    {api::row_write{{"t", "a"}, bytes, api::row_version{3}},
+                                    api::row_write{{"t", "c"}, "", api::row_version{3, era}},
                                     api::row_write{{"t", "b"}, "", std::nullopt}}};
     for (const api::table_command& command :
          {api::table_command{commit},
@@ -74,6 +94,11 @@
     expect_round_trip(commit, api::table_conflict{request_number, {row}});
     expect_round_trip(api::table_scan{request_number, "t", ""},
                       api::table_rows{request_number, {row}});
+    const api::row restored{{"t", "a"}, bytes, api::row_version{4, era}};
+    expect_round_trip(commit, api::table_committed{request_number, era});
+    expect_round_trip(commit, api::table_conflict{request_number, {restored}, era});
+    expect_round_trip(api::table_scan{request_number, "t", ""},
+                      api::table_rows{request_number, {restored}, era});
 }
 
 BOOST_AUTO_TEST_CASE(the_status_decides_whether_a_write_may_have_been_applied)
