A condition on a version from before a restore does not hold for a later row with the same number

Callers saw: after the table had come back from a copy, a write whose condition named a lost version overwrote the row that had got the same number since. Cause: conditions compared the numbers alone, which a restored table gives out again. Evidence, before: "check (answer == api::table_event{api::table_conflict{...}}) has failed" in a_version_from_before_a_restore_does_not_overwrite_a_later_row, and two checks in a_row_that_was_absent_before_a_restore_may_be_absent_no_longer. Why it works: the service compares era and number in the transaction itself, so no restore fits between check and write. Only row_version{}, which says that a row must be absent, holds in each era.

--- a/src/call/table_claim_store.cpp
+++ b/src/call/table_claim_store.cpp
@@ -21,7 +21,7 @@
 
 claim_current to_claim_current(const std::vector<api::row>& rows)
 {
-    if (rows.empty() || rows.front().version == api::row_version{}) {
+    if (rows.empty() || rows.front().version.is_absent()) {
         return claim_current{};
     }
     return claim_current{to_claim(rows.front())};
--- a/src/table/memory_table.cpp
+++ b/src/table/memory_table.cpp
@@ -23,7 +23,8 @@
     if (!write.expected.has_value()) {
         return true;
     }
-    return write.expected->value() == existing.version.value();
+    return *write.expected == existing.version ||
+           (*write.expected == api::row_version{} && existing.version.is_absent());
 }
 
 api::table_event memory_table::commit(const api::table_commit& transaction)
--- a/src/table/table_client.cpp
+++ b/src/table/table_client.cpp
@@ -180,8 +180,9 @@
             unaffected.push_back(pending);
         }
         else {
-            conflicts.emplace_back(pending.listener,
-                                   api::table_conflict{pending.request, std::move(own), conflict.era});
+            conflicts.emplace_back(
+                pending.listener,
+                api::table_conflict{pending.request, std::move(own), conflict.era});
         }
     }
     if (!unaffected.empty()) {
--- a/tests/table/memory_table_test.cpp
+++ b/tests/table/memory_table_test.cpp
@@ -67,6 +67,34 @@
                 api::table_event{api::table_committed{request_number, era}}));
 }
 
+BOOST_AUTO_TEST_CASE(a_version_from_before_a_restore_does_not_overwrite_a_later_row)
+{
+    table::memory_table table;
+    std::ignore = table.apply(api::table_commit{request_number, {write("a", "lost", 0)}});
+    BOOST_TEST(table.restore(0));
+    std::ignore = table.apply(api::table_commit{request_number, {write("a", "later", 0)}});
+    const auto answer = table.apply(api::table_commit{request_number, {write("a", "stale", 1)}});
+    const api::table_era era{1};
+    BOOST_TEST(
+        (answer ==
+         api::table_event{api::table_conflict{
+             request_number, {api::row{{"t", "a"}, "later", api::row_version{1, era}}}, era}}));
+}
+
+BOOST_AUTO_TEST_CASE(a_row_that_was_absent_before_a_restore_may_be_absent_no_longer)
+{
+    table::memory_table table;
+    BOOST_TEST(table.restore(0));
+    const api::row_write stale{{"t", "a"}, "stale", api::row_version{0, api::table_era{0}}};
+    const api::row_write current{{"t", "a"}, "new", api::row_version{0, api::table_era{1}}};
+    BOOST_TEST(table.restore(0));
+    BOOST_TEST((std::holds_alternative<api::table_conflict>(
+        table.apply(api::table_commit{request_number, {current}}))));
+    // A version without an era says that the row must be absent in whichever era.
+    BOOST_TEST((std::holds_alternative<api::table_committed>(
+        table.apply(api::table_commit{request_number, {stale}}))));
+}
+
 BOOST_AUTO_TEST_CASE(commands_and_answers_round_trip_through_the_codec)
 {
     const std::string bytes{"\0\xff binary", 9};
