A lease that a restored table has lost is never held by two

Callers saw: after the table had come back from a copy, two instances held the lease to send orders at the same time, and the second could have the fencing number of the first, so that engines took the orders of both. Cause: a row that was absent, or had the version from before it was renewed, counted as lapsed at once; the next fencing number came from that row. Evidence, with a table that does not tell its era (as before): "critical check fleet.holders() <= 1 has failed" in a_lease_that_a_restored_table_has_lost_is_never_held_by_two and in a_lease_does_not_lapse_early_if_a_restored_table_gives_out_its_version_again; "check fleet.member(1).instance_lease.fence().value() > fence.value() has failed [1 <= 1]" in fencing_numbers_increase_over_a_restore_that_has_lost_the_highest_one. Why it works: a row of another era, also an absent one, must stand unchanged for the whole length of the lease; the holder counts from before its write was lost and thus ends first. A claim on an absent row that is committed in a later era than it was read in gives no lease. The fencing numbers of an era start above all of the eras before. Cost: in a restored table a lease without a row is first taken after its length, 10 s, instead of at once.

--- a/src/lease/lease.cpp
+++ b/src/lease/lease.cpp
@@ -10,6 +10,10 @@
 /// first half of the lease, as nothing else protects them from an order that arrives late.
 constexpr int unfenced_divisor = 2;
 
+/// Bits of a fencing number below the era of the table, so that the numbers of an era are above all
+/// of the eras before, of which a restored table may have lost the highest.
+constexpr int era_shift = 32;
+
 } // namespace
 
 lease::lease(lease_settings settings, lease_row self, api::row_key key,
@@ -49,8 +53,10 @@
         return;
     }
     pending_write_.reset();
-    if (std::holds_alternative<api::table_committed>(event)) {
-        raise(lease_event::written);
+    if (const auto* committed = std::get_if<api::table_committed>(&event)) {
+        // A claim on an absent row may be committed after a restore that has lost another one.
+        raise(committed->era == row_version_.era() ? lease_event::written
+                                                   : lease_event::conflicted);
     }
     else if (std::holds_alternative<api::table_conflict>(event)) {
         raise(lease_event::conflicted);
@@ -69,7 +75,7 @@
     const auto found = std::find_if(answer.rows.begin(), answer.rows.end(),
                                     [&](const api::row& row) { return row.key == key_; });
     if (found == answer.rows.end()) {
-        record_row(api::row_version{}, {});
+        record_row(api::row_version{0, answer.era}, {});
     }
     else {
         record_row(found->version, found->value);
@@ -150,6 +156,7 @@
 
 bool lease::has_lapsed() const
 {
+    // In a restored table an absent row may be one that was lost.
     return row_version_ == api::row_version{} || now_ - row_unchanged_since_ >= settings_.length;
 }
 
@@ -178,7 +185,9 @@
     case lease_action::write_claim:
         // A claim with an unknown outcome may be stored in the table, so its fencing number is
         // never used again.
-        write(std::max(row_.has_value() ? row_->fence : fencing_number{}, claimed_fence_).next());
+        write(std::max({row_.has_value() ? row_->fence : fencing_number{}, claimed_fence_,
+                        fencing_number{row_version_.era().value() << era_shift}})
+                  .next());
         break;
     case lease_action::write_renewal:
         write(fence_);
--- a/tests/lease/fakes.hpp
+++ b/tests/lease/fakes.hpp
@@ -16,6 +16,15 @@
     bool loses_answers = false;
     std::string value;
     api::row_version version;
+    api::table_era era;
+
+    /// Returns to an earlier row; what was written since is lost.
+    void restore(const std::string& earlier_value, std::uint64_t earlier_version)
+    {
+        era = era.next();
+        value = earlier_value;
+        version = api::row_version{earlier_version, era};
+    }
 
     api::table_event answer(const api::table_command& command)
     {
@@ -25,20 +34,20 @@
         }
         const auto* commit = std::get_if<api::table_commit>(&command);
         if (commit == nullptr) {
-            if (version == api::row_version{}) {
-                return api::table_rows{request, {}};
+            if (version.is_absent()) {
+                return api::table_rows{request, {}, era};
             }
-            return api::table_rows{request, {{key(), value, version}}};
+            return api::table_rows{request, {{key(), value, version}}, era};
         }
         if (commit->writes.front().expected != version) {
-            return api::table_conflict{request, {{key(), value, version}}};
+            return api::table_conflict{request, {{key(), value, version}}, era};
         }
         value = commit->writes.front().value;
         version = version.next();
         if (loses_answers) {
             return api::table_failed{request, true, "no answer"};
         }
-        return api::table_committed{request};
+        return api::table_committed{request, era};
     }
 
     static api::row_key key() { return {"leases", "orders"}; }
--- a/tests/lease/lease_test.cpp
+++ b/tests/lease/lease_test.cpp
@@ -57,6 +57,57 @@
     BOOST_TEST(fleet.holders() == 1);
 }
 
+BOOST_AUTO_TEST_CASE(a_lease_that_a_restored_table_has_lost_is_never_held_by_two)
+{
+    for (milliseconds delay{}; delay < seconds{6}; delay += milliseconds{100}) {
+        test::fleet fleet{3};
+        fleet.run(seconds{5} + delay);
+        BOOST_REQUIRE(fleet.holders() == 1);
+        fleet.table.restore({}, 0);
+        for (int step = 0; step < 300; ++step) {
+            fleet.run(milliseconds{100});
+            BOOST_REQUIRE(fleet.holders() <= 1);
+        }
+        BOOST_TEST(fleet.holders() == 1);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_lease_does_not_lapse_early_if_a_restored_table_gives_out_its_version_again)
+{
+    for (milliseconds delay{}; delay < seconds{6}; delay += milliseconds{100}) {
+        test::fleet fleet{2};
+        fleet.run(seconds{5} + delay);
+        BOOST_REQUIRE(fleet.holders() == 1);
+        const std::string value = fleet.table.value;
+        const std::uint64_t version = fleet.table.version.value();
+        // The other instance knows this version, and reads no later one before the restore.
+        const std::size_t other = 1 - fleet.holder();
+        fleet.member(other).paused_until = fleet.now + seconds{9};
+        fleet.run(seconds{9});
+        fleet.table.restore(value, version);
+        fleet.member(other).answers.clear();
+        for (int step = 0; step < 300; ++step) {
+            fleet.run(milliseconds{100});
+            BOOST_REQUIRE(fleet.holders() <= 1);
+        }
+        BOOST_TEST(fleet.holders() == 1);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(fencing_numbers_increase_over_a_restore_that_has_lost_the_highest_one)
+{
+    test::fleet fleet{2};
+    fleet.member(1).paused_until = fleet.now + seconds{6};
+    fleet.run(seconds{5});
+    BOOST_REQUIRE(fleet.member(0).may_order());
+    const auto fence = fleet.member(0).instance_lease.fence();
+    fleet.member(0).paused_until = fleet.now + seconds{60};
+    fleet.table.restore({}, 0);
+    fleet.run(seconds{30});
+    BOOST_REQUIRE(fleet.member(1).may_order());
+    BOOST_TEST(fleet.member(1).instance_lease.fence().value() > fence.value());
+}
+
 BOOST_AUTO_TEST_CASE(the_reconciler_orders_targets_that_differ_and_have_no_recent_order)
 {
     test::fleet fleet{1};
