A confirmed revision that a restored table has lost is written again, and one given out again replaces it

Callers saw: after the table had come back from a copy, a revision that had been confirmed was in force at the instances that had seen it and at no other, for good, and was proven nowhere; the next change got the same number, and these instances ignored it. Cause: revisions were compared by their numbers, which a restored table gives out again; a head row below the revision in force was logged (configuration_table_went_back) and nothing else. Evidence, without the second write and the era (as before): "check fleet.all_have("two") has failed", "check head->revision.value() == 2U has failed [1 != 2]" in a_confirmed_revision_that_a_restored_table_has_lost_is_written_again; "check fleet.all_have("later") has failed" in a_revision_that_is_given_out_again_replaces_the_lost_one_everywhere and in a_revision_below_the_lost_ones_is_taken_over_after_a_restore; also a_confirmed_revision_is_written_again_to_a_table_that_is_restored_to_no_rows. Why it works: each revision carries the era in which it was accepted, in its rows and in messages between instances; the order is that of (era, revision). Whoever reads a head row below the revision in force writes that one again, unchanged, on the condition that the head row still is what it read: one of several instances succeeds, and a change of the later era always wins. Only the revision in force is known to the instances: earlier ones that were lost are missing from the history.

--- a/src/api/peer_messages.hpp
+++ b/src/api/peer_messages.hpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "api/checkpoint_messages.hpp"
+#include "api/table_messages.hpp"
 #include "core/identifier.hpp"
 #include "core/socket_address.hpp"
 #include "core/time.hpp"
@@ -60,12 +61,27 @@
     auto operator<=>(const member&) const = default;
 };
 
+/// Place of a configuration in the order of all accepted ones. A restored table gives out the
+/// revisions that it has lost again; what it accepts in its later era succeeds all of the earlier.
+struct configuration_position {
+    /// Era of the table in which the configuration was accepted.
+    const table_era era;
+    const core::revision revision;
+
+    auto operator<=>(const configuration_position&) const = default;
+};
+
 /// What an instance knows about the newest accepted configuration.
 struct configuration_knowledge {
     /// The revision that the instance has in force.
     const core::revision revision;
     /// Time since the head row in the table was last known to name this revision; empty if never.
     const std::optional<core::duration> age;
+    /// Era of the table in which the revision was accepted.
+    const table_era era{};
+
+    /// @return the place in the order of all accepted configurations
+    [[nodiscard]] configuration_position position() const { return {era, revision}; }
 
     auto operator<=>(const configuration_knowledge&) const = default;
 };
@@ -116,6 +132,11 @@
 /// Announces the revision that the sender has in force.
 struct revision_notice {
     const core::revision revision;
+    /// Era of the table in which the revision was accepted.
+    const table_era era{};
+
+    /// @return the place in the order of all accepted configurations
+    [[nodiscard]] configuration_position position() const { return {era, revision}; }
 
     auto operator<=>(const revision_notice&) const = default;
 };
@@ -124,6 +145,11 @@
 struct configuration_request {
     /// The revision that the sender has.
     const core::revision held;
+    /// Era of the table in which that revision was accepted.
+    const table_era era{};
+
+    /// @return the place of the sender's configuration in the order of all accepted ones
+    [[nodiscard]] configuration_position position() const { return {era, held}; }
 
     auto operator<=>(const configuration_request&) const = default;
 };
@@ -140,6 +166,11 @@
     const core::wall_time accepted;
     /// The declarations in their stored form.
     const std::string declarations;
+    /// Era of the table in which it was accepted.
+    const table_era era{};
+
+    /// @return the place in the order of all accepted configurations
+    [[nodiscard]] configuration_position position() const { return {era, revision}; }
 
     auto operator<=>(const configuration_copy&) const = default;
 };
--- a/src/config/configuration_tracker.cpp
+++ b/src/config/configuration_tracker.cpp
@@ -20,7 +20,8 @@
 {
     next_read_at_ = now;
     next_copy_request_ = now;
-    host_.send_to_random_peers(settings_.fan_out, api::configuration_request{revision()});
+    host_.send_to_random_peers(settings_.fan_out,
+                               api::configuration_request{position().revision, position().era});
 }
 
 api::configuration_knowledge configuration_tracker::knowledge(core::instant now) const
@@ -29,7 +30,7 @@
     if (verified_at_.has_value()) {
         age = now - *verified_at_;
     }
-    return api::configuration_knowledge{revision(), age};
+    return api::configuration_knowledge{position().revision, age, position().era};
 }
 
 bool configuration_tracker::is_verified(core::instant now) const
@@ -42,10 +43,10 @@
                                               std::optional<core::instant> not_before,
                                               core::instant now)
 {
-    if (reported.revision > revision()) {
+    if (reported.position() > position()) {
         request_copy(from, now);
     }
-    else if (reported.revision == revision() && reported.age.has_value() &&
+    else if (reported.position() == position() && reported.age.has_value() &&
              not_before.has_value()) {
         mark_verified(*not_before - *reported.age, now);
     }
@@ -60,18 +61,19 @@
     pending_read_.set(std::nullopt);
     next_read_at_ = now;
     host_.hold_work(true, now);
-    host_.send_to_random_peers(settings_.fan_out, api::configuration_request{revision()});
+    host_.send_to_random_peers(settings_.fan_out,
+                               api::configuration_request{position().revision, position().era});
 }
 
 void configuration_tracker::on_message(const api::peer_received& received, core::instant now)
 {
     if (const auto* notice = std::get_if<api::revision_notice>(&received.message)) {
-        if (notice->revision > revision()) {
+        if (notice->position() > position()) {
             request_copy(received.from, now);
         }
     }
     else if (const auto* request = std::get_if<api::configuration_request>(&received.message)) {
-        if (in_force().has_value() && request->held < revision()) {
+        if (in_force().has_value() && request->position() < position()) {
             host_.send(received.from, *in_force());
         }
     }
@@ -89,25 +91,24 @@
     if (!pending.has_value() || pending->request != request) {
         return;
     }
-    const core::instant sent = pending->sent;
-    const std::optional<core::revision> expected = pending->revision;
+    const pending_read answered = *pending;
     pending_read_.set(std::nullopt);
     next_read_at_ = now + settings_.read_pause;
     const auto* answer = std::get_if<api::table_rows>(&event);
     if (answer == nullptr) {
         return;
     }
-    if (expected.has_value()) {
-        handle_revision_row(answer->rows, *expected, sent, now);
+    if (answered.revision.has_value()) {
+        handle_revision_row(answer->rows, *answered.revision, answered.sent, now);
     }
     else {
-        handle_head_row(answer->rows, sent, now);
+        handle_head_row(*answer, answered, now);
     }
 }
 
 void configuration_tracker::take_over(const api::configuration_copy& accepted, core::instant now)
 {
-    if (accepted.revision <= revision()) {
+    if (accepted.position() <= position()) {
         return;
     }
     const auto configuration = codec_.read_declarations(accepted);
@@ -127,7 +128,8 @@
     core::log_event(core::log_level::info, "configuration_in_force",
                     {{"revision", accepted.revision.value()}, {"author", accepted.author}});
     host_.put_in_force(*configuration, now);
-    host_.send_to_random_peers(settings_.fan_out, api::revision_notice{accepted.revision});
+    host_.send_to_random_peers(settings_.fan_out,
+                               api::revision_notice{accepted.revision, accepted.era});
 }
 
 core::instant configuration_tracker::next_deadline() const
@@ -159,9 +161,9 @@
     send_read({head_row()}, std::nullopt, now);
 }
 
-core::revision configuration_tracker::revision() const
+api::configuration_position configuration_tracker::position() const
 {
-    return in_force().has_value() ? in_force()->revision : core::revision{};
+    return in_force().has_value() ? in_force()->position() : api::configuration_position{};
 }
 
 void configuration_tracker::mark_verified(core::instant verified_at, core::instant now)
@@ -179,23 +181,26 @@
         return;
     }
     next_copy_request_ = now + settings_.copy_limit;
-    host_.send(peer, api::configuration_request{revision()});
+    host_.send(peer, api::configuration_request{position().revision, position().era});
 }
 
 void configuration_tracker::send_read(std::vector<api::row_key> rows,
                                       std::optional<core::revision> revision, core::instant sent)
 {
     const api::table_request request = host_.read(std::move(rows));
-    pending_read_.set(pending_read{request, sent, revision});
+    pending_read_.set(pending_read{request, sent, position(), revision});
 }
 
-void configuration_tracker::handle_head_row(const std::vector<api::row>& rows, core::instant sent,
+void configuration_tracker::handle_head_row(const api::table_rows& answer, const pending_read& read,
                                             core::instant now)
 {
-    const api::row* row = find_row(rows, head_row());
+    const api::row* row = find_row(answer.rows, head_row());
     if (row == nullptr) {
         if (!in_force().has_value()) {
-            mark_verified(sent, now);
+            mark_verified(read.sent, now);
+        }
+        else {
+            write_again(api::row_version{0, answer.era}, read, now);
         }
         return;
     }
@@ -204,16 +209,34 @@
         core::log_event(core::log_level::error, "configuration_unreadable",
                         {{"row", row->key.row}, {"problem", std::string{head.status().message()}}});
     }
-    else if (head->revision == revision()) {
-        mark_verified(sent, now);
+    else if (head->position() == position()) {
+        mark_verified(read.sent, now);
     }
-    else if (head->revision > revision()) {
-        send_read({revision_row(head->revision)}, head->revision, sent);
+    else if (head->position() > position()) {
+        send_read({revision_row(head->revision)}, head->revision, read.sent);
     }
     else {
-        core::log_event(core::log_level::error, "configuration_table_went_back",
-                        {{"in_force", revision().value()}, {"head", head->revision.value()}});
+        write_again(row->version, read, now);
+    }
+}
+
+void configuration_tracker::write_again(api::row_version head, const pending_read& read,
+                                        core::instant now)
+{
+    if (position() != read.held) {
+        // The configuration came into force after the table was read.
+        return;
     }
+    const api::configuration_copy& lost = *in_force();
+    core::log_event(core::log_level::warning, "configuration_written_again",
+                    {{"revision", lost.revision.value()},
+                     {"era", lost.era.value()},
+                     {"table_era", head.era().value()}});
+    const api::configuration_copy summary{lost.revision, lost.base, lost.author, lost.nonce,
+                                          lost.accepted, {},        lost.era};
+    host_.commit({api::row_write{head_row(), codec_.encode(summary), head},
+                  api::row_write{revision_row(lost.revision), codec_.encode(lost), std::nullopt}},
+                 now);
 }
 
 void configuration_tracker::handle_revision_row(const std::vector<api::row>& rows,
@@ -226,7 +249,7 @@
                           : codec_.decode(row->value);
     if (copy.ok()) {
         take_over(*copy, now);
-        if (revision() == expected) {
+        if (position() == copy->position() && copy->revision == expected) {
             mark_verified(sent, now);
         }
     }
--- a/src/config/configuration_tracker.hpp
+++ b/src/config/configuration_tracker.hpp
@@ -23,13 +23,19 @@
     /// @return number of the request
     virtual api::table_request read(std::vector<api::row_key> rows) = 0;
 
+    /// Starts a transaction of the table. Its answer is ignored: the next read shows the outcome.
+    /// @param writes rows to write, all or none of them
+    /// @param now current instant
+    virtual void commit(std::vector<api::row_write> writes, core::instant now) = 0;
+
     /// Sends a message to one peer.
     virtual void send(const api::peer_identity& to, api::peer_message message) = 0;
 
     /// Sends a message to up to `count` peers, chosen at random.
     virtual void send_to_random_peers(std::size_t count, api::peer_message message) = 0;
 
-    /// Puts a configuration into force. Its revision is higher than that of the previous one.
+    /// Puts a configuration into force, which succeeds the previous one. Its revision is higher,
+    /// unless the table was restored in between.
     virtual void put_in_force(const model::configuration_ptr& configuration, core::instant now) = 0;
 
     /// Starts or stops rejecting new work.
@@ -39,7 +45,9 @@
 };
 
 /// Keeps the newest accepted configuration in force. A new configuration comes from the table or
-/// from a peer that has it in force; the revision in force never decreases.
+/// from a peer that has it in force; the position of the one in force never decreases. If a
+/// restored table lacks it, this instance writes it again, on the condition that the head row is
+/// unchanged.
 ///
 /// The revision in force is verified to be the newest as of the start of a read of the head row. A
 /// peer with the same revision passes on its own verification: its answer to a probe states the age
@@ -74,6 +82,9 @@
         return in_force_.get();
     }
 
+    /// @return position of the configuration in force; all zero before the first one
+    [[nodiscard]] api::configuration_position position() const;
+
     /// Handles a peer's report of what it knows of the newest configuration.
     /// @param from the peer
     /// @param reported the peer's knowledge
@@ -93,7 +104,7 @@
     /// Handles an answer of the table; ignores answers to other requests.
     void on_table_event(const api::table_event& event, core::instant now);
 
-    /// Puts an accepted configuration into force if its revision is higher than the current one.
+    /// Puts an accepted configuration into force if it succeeds the current one.
     void take_over(const api::configuration_copy& accepted, core::instant now);
 
     /// @return when on_timer() must be called next
@@ -107,6 +118,8 @@
     struct pending_read {
         const api::table_request request;
         const core::instant sent;
+        /// Position of the configuration that was in force when the read was sent.
+        const api::configuration_position held;
         /// The revision whose row is read; empty if the head row is read.
         const std::optional<core::revision> revision;
     };
@@ -125,14 +138,15 @@
     std::optional<core::instant> hold_until_;
     bool ready_ = false;
 
-    [[nodiscard]] core::revision revision() const;
     void mark_verified(core::instant verified_at, core::instant now);
     void request_copy(const api::peer_identity& peer, core::instant now);
     void send_read(std::vector<api::row_key> rows, std::optional<core::revision> revision,
                    core::instant sent);
-    void handle_head_row(const std::vector<api::row>& rows, core::instant sent, core::instant now);
+    void handle_head_row(const api::table_rows& answer, const pending_read& read,
+                         core::instant now);
     void handle_revision_row(const std::vector<api::row>& rows, core::revision revision,
                              core::instant sent, core::instant now);
+    void write_again(api::row_version head, const pending_read& read, core::instant now);
     void release_hold(core::instant now);
 };
 
--- a/src/http/revision_codec.cpp
+++ b/src/http/revision_codec.cpp
@@ -24,6 +24,7 @@
             "author": {"type": "string"},
             "nonce": {"type": "string"},
             "accepted_ms": {"type": "integer"},
+            "era": {"type": "integer", "minimum": 0},
             "declarations": {"type": "object"}
         }
     })");
@@ -39,6 +40,9 @@
                   {"author", copy.author},
                   {"nonce", copy.nonce},
                   {"accepted_ms", copy.accepted.time_since_epoch().count()}};
+    if (copy.era != api::table_era{}) {
+        body["era"] = copy.era.value();
+    }
     if (!copy.declarations.empty()) {
         body["declarations"] = document::parse(copy.declarations, nullptr, false);
     }
@@ -61,7 +65,8 @@
         (*body)["author"],
         (*body)["nonce"],
         core::wall_time{std::chrono::milliseconds{(*body)["accepted_ms"].get<std::int64_t>()}},
-        body->contains("declarations") ? (*body)["declarations"].dump() : std::string{}};
+        body->contains("declarations") ? (*body)["declarations"].dump() : std::string{},
+        api::table_era{body->value("era", std::uint64_t{0})}};
 }
 
 absl::StatusOr<model::configuration_ptr>
--- a/src/instance/config_component.cpp
+++ b/src/instance/config_component.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "core/cell.hpp"
 #include "core/hash.hpp"
 #include "core/text.hpp"
 
@@ -245,7 +246,7 @@
         all.push_back(held.get().member);
     }
     std::vector<api::instance_status> instances;
-    core::revision newest = knowledge(now).revision;
+    core::cell<api::configuration_position> newest{knowledge(now).position()};
     for (const api::member& member : all) {
         std::optional<api::configuration_knowledge> reported;
         const auto report = query.reports.find(member.identity.name);
@@ -256,7 +257,7 @@
             reported.emplace(report->second);
         }
         if (reported.has_value()) {
-            newest = std::max(newest, reported->revision);
+            newest.set(std::max(newest.get(), reported->position()));
         }
         instances.push_back(api::instance_status{
             member, reported, unresponsive_for(members_.members().others(), member, now)});
@@ -266,10 +267,11 @@
         std::all_of(instances.begin(), instances.end(), [&](const api::instance_status& each) {
             const auto& reported = each.configuration;
             return each.instance.state == api::member_state::gone ||
-                   (reported.has_value() && reported->revision == newest &&
+                   (reported.has_value() && reported->position() == newest.get() &&
                     reported->age.has_value() && *reported->age <= max_verification_age);
         });
-    answer(api::status_answer{query.caller, newest, std::move(instances), everywhere});
+    answer(
+        api::status_answer{query.caller, newest.get().revision, std::move(instances), everywhere});
 }
 
 void config_component::after_event(core::instant now)
@@ -285,6 +287,11 @@
     return table_.read(std::move(rows), *this);
 }
 
+void config_component::commit(std::vector<api::row_write> writes, core::instant now)
+{
+    std::ignore = table_.commit(std::move(writes), *this, now);
+}
+
 void config_component::send(const api::peer_identity& to, api::peer_message message)
 {
     const auto* known = members_.members().others().find(to.name);
--- a/src/instance/config_component.hpp
+++ b/src/instance/config_component.hpp
@@ -93,6 +93,7 @@
     [[nodiscard]] session_host& as_session_host() { return *this; }
 
     api::table_request read(std::vector<api::row_key> rows) override;
+    void commit(std::vector<api::row_write> writes, core::instant now) override;
     void send(const api::peer_identity& to, api::peer_message message) override;
     void send_to_random_peers(std::size_t count, api::peer_message message) override;
     void put_in_force(const model::configuration_ptr& configuration, core::instant now) override;
--- a/src/peer/configuration_codec.cpp
+++ b/src/peer/configuration_codec.cpp
@@ -13,6 +13,7 @@
 void write_part(const api::configuration_knowledge& value, wire::configuration_knowledge& out)
 {
     out.set_revision(value.revision.value());
+    out.set_era(value.era.value());
     if (value.age.has_value()) {
         // Adds 1 ms for the fraction that rounding cuts off, so that knowledge never looks fresher
         // at the receiver than it is.
@@ -26,17 +27,22 @@
     if (in.has_age_ms()) {
         age = std::chrono::milliseconds{in.age_ms()};
     }
-    return api::configuration_knowledge{core::revision{in.revision()}, age};
+    return api::configuration_knowledge{core::revision{in.revision()}, age,
+                                        api::table_era{in.era()}};
 }
 
 void write(const api::revision_notice& value, wire::envelope& out)
 {
-    out.mutable_revision_notice()->set_revision(value.revision.value());
+    wire::revision_notice& notice = *out.mutable_revision_notice();
+    notice.set_revision(value.revision.value());
+    notice.set_era(value.era.value());
 }
 
 void write(const api::configuration_request& value, wire::envelope& out)
 {
-    out.mutable_configuration_request()->set_held(value.held.value());
+    wire::configuration_request& request = *out.mutable_configuration_request();
+    request.set_held(value.held.value());
+    request.set_era(value.era.value());
 }
 
 void write(const api::configuration_copy& value, wire::envelope& out)
@@ -48,6 +54,7 @@
     copy.set_nonce(value.nonce);
     copy.set_accepted_ms(value.accepted.time_since_epoch().count());
     copy.set_declarations(value.declarations);
+    copy.set_era(value.era.value());
 }
 
 void write(const api::status_request& value, wire::envelope& out)
@@ -64,12 +71,12 @@
 
 api::revision_notice read(const wire::revision_notice& in)
 {
-    return api::revision_notice{core::revision{in.revision()}};
+    return api::revision_notice{core::revision{in.revision()}, api::table_era{in.era()}};
 }
 
 api::configuration_request read(const wire::configuration_request& in)
 {
-    return api::configuration_request{core::revision{in.held()}};
+    return api::configuration_request{core::revision{in.held()}, api::table_era{in.era()}};
 }
 
 api::configuration_copy read(const wire::configuration_copy& in)
@@ -79,7 +86,8 @@
                                    in.author(),
                                    in.nonce(),
                                    core::wall_time{std::chrono::milliseconds{in.accepted_ms()}},
-                                   in.declarations()};
+                                   in.declarations(),
+                                   api::table_era{in.era()}};
 }
 
 api::status_request read(const wire::status_request& in)
--- a/tests/config/configuration_tracker_test.cpp
+++ b/tests/config/configuration_tracker_test.cpp
@@ -38,6 +38,10 @@
                 }
             });
         }
+        void commit(std::vector<api::row_write> writes, core::instant /*now*/) override
+        {
+            cluster.table.commit(std::move(writes), [](const api::table_event& /*answer*/) {});
+        }
         void send(const api::peer_identity& to, api::peer_message message) override
         {
             cluster.transmit(*this, core::parse_number<std::size_t>(to.name.str()).value(),
@@ -112,11 +116,23 @@
                                            "ann",
                                            core::concat("n", revision),
                                            {},
-                                           declarations};
-        const api::row_version version{revision};
+                                           declarations,
+                                           table.era};
+        const api::row_version version{revision, table.era};
         table.rows.insert_or_assign(config::head_row(), std::pair{codec.encode(copy), version});
         table.rows.insert_or_assign(config::revision_row(copy.revision),
-                                    std::pair{codec.encode(copy), api::row_version{1}});
+                                    std::pair{codec.encode(copy), api::row_version{1, table.era}});
+    }
+
+    /// @return true if all instances have these declarations in force, and know that they are the
+    /// newest of the table
+    [[nodiscard]] bool all_have(const std::string& declarations) const
+    {
+        return std::all_of(nodes.begin(), nodes.end(), [&](const auto& each) {
+            return each->tracker.in_force().has_value() &&
+                   each->tracker.in_force()->declarations == declarations &&
+                   each->tracker.is_verified(table.now);
+        });
     }
 
     void transmit(node& from, std::size_t to, const api::peer_message& message)
@@ -255,6 +271,63 @@
     BOOST_TEST(fleet.reaches_all_in(core::revision{3}, spread_limit));
 }
 
+BOOST_AUTO_TEST_CASE(a_confirmed_revision_that_a_restored_table_has_lost_is_written_again)
+{
+    simulated_cluster fleet{5, 6};
+    fleet.store_revision(1, "one");
+    BOOST_REQUIRE(fleet.reaches_all_in(core::revision{1}, spread_limit));
+    const auto earlier = fleet.table.rows;
+    fleet.store_revision(2, "two");
+    BOOST_REQUIRE(fleet.reaches_all_in(core::revision{2}, spread_limit));
+    fleet.table.restore(earlier);
+    // Longer than a verification from before the restore lasts.
+    fleet.run(seconds{12});
+    BOOST_TEST(fleet.all_have("two"));
+    BOOST_TEST(fleet.table.rows.contains(config::revision_row(core::revision{2})));
+    const auto head = fleet.codec.decode(fleet.table.rows.at(config::head_row()).first);
+    BOOST_TEST(head->revision.value() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(a_confirmed_revision_is_written_again_to_a_table_that_is_restored_to_no_rows)
+{
+    simulated_cluster fleet{3, 7};
+    fleet.store_revision(1, "one");
+    BOOST_REQUIRE(fleet.reaches_all_in(core::revision{1}, spread_limit));
+    fleet.table.restore({});
+    fleet.run(seconds{12});
+    BOOST_TEST(fleet.all_have("one"));
+    BOOST_TEST(fleet.table.rows.contains(config::revision_row(core::revision{1})));
+}
+
+BOOST_AUTO_TEST_CASE(a_revision_that_is_given_out_again_replaces_the_lost_one_everywhere)
+{
+    simulated_cluster fleet{5, 8};
+    fleet.store_revision(1, "one");
+    BOOST_REQUIRE(fleet.reaches_all_in(core::revision{1}, spread_limit));
+    const auto earlier = fleet.table.rows;
+    fleet.store_revision(2, "lost");
+    BOOST_REQUIRE(fleet.reaches_all_in(core::revision{2}, spread_limit));
+    fleet.table.restore(earlier);
+    fleet.store_revision(2, "later");
+    fleet.run(spread_limit);
+    BOOST_TEST(fleet.all_have("later"));
+}
+
+BOOST_AUTO_TEST_CASE(a_revision_below_the_lost_ones_is_taken_over_after_a_restore)
+{
+    simulated_cluster fleet{5, 9};
+    fleet.store_revision(1, "one");
+    BOOST_REQUIRE(fleet.reaches_all_in(core::revision{1}, spread_limit));
+    const auto earlier = fleet.table.rows;
+    fleet.store_revision(2, "lost");
+    fleet.store_revision(3, "lost");
+    BOOST_REQUIRE(fleet.reaches_all_in(core::revision{3}, spread_limit));
+    fleet.table.restore(earlier);
+    fleet.store_revision(2, "later");
+    fleet.run(spread_limit);
+    BOOST_TEST(fleet.all_have("later"));
+}
+
 RC_BOOST_PROP(revision_in_force_never_decreases, ())
 {
     simulated_cluster fleet{*rc::gen::inRange<std::size_t>(2, 8),
--- a/tests/config/fakes.hpp
+++ b/tests/config/fakes.hpp
@@ -19,7 +19,7 @@
     [[nodiscard]] std::string encode(const api::configuration_copy& copy) const override
     {
         return core::concat(copy.revision.value(), "|", copy.base.value(), "|", copy.author, ".|",
-                            copy.nonce, "|", copy.declarations, ".");
+                            copy.nonce, "|", copy.declarations, ".|", copy.era.value());
     }
     [[nodiscard]] absl::StatusOr<api::configuration_copy>
     decode(const std::string& value) const override
@@ -31,7 +31,8 @@
             std::string{parts[2].substr(0, parts[2].size() - 1)},
             std::string{parts[3]},
             core::wall_time{},
-            std::string{parts[4].substr(0, parts[4].size() - 1)}};
+            std::string{parts[4].substr(0, parts[4].size() - 1)},
+            api::table_era{core::parse_number<std::uint64_t>(parts[5]).value()}};
     }
     [[nodiscard]] absl::StatusOr<model::configuration_ptr>
     read_declarations(const api::configuration_copy& copy) const override
@@ -63,7 +64,7 @@
                     found.push_back(api::row{key, row->second.first, row->second.second});
                 }
             }
-            return api::table_event{api::table_rows{request, std::move(found)}};
+            return api::table_event{api::table_rows{request, std::move(found), era}};
         });
         return request;
     }
@@ -74,19 +75,35 @@
         const api::table_request request = next();
         enqueue(request, true, std::move(answer), [this, request, writes = std::move(writes)] {
             for (const api::row_write& write : writes) {
-                if (version_of(write.key) != write.expected.value_or(version_of(write.key))) {
-                    return api::table_event{api::table_conflict{request, {}}};
+                const api::row_version version = version_of(write.key);
+                const bool is_absent_in_any_era =
+                    write.expected == api::row_version{} && version.is_absent();
+                if (version != write.expected.value_or(version) && !is_absent_in_any_era) {
+                    return api::table_event{api::table_conflict{request, {}, era}};
                 }
             }
             for (const api::row_write& write : writes) {
                 const auto version = version_of(write.key).next();
                 rows.insert_or_assign(write.key, std::pair{write.value, version});
             }
-            return api::table_event{api::table_committed{request}};
+            return api::table_event{api::table_committed{request, era}};
         });
         return request;
     }
 
+    using row_map = std::map<api::row_key, std::pair<std::string, api::row_version>>;
+
+    /// Returns to earlier rows; what was written since is lost.
+    void restore(const row_map& earlier)
+    {
+        era = era.next();
+        rows.clear();
+        for (const auto& [key, stored] : earlier) {
+            rows.emplace(key,
+                         std::pair{stored.first, api::row_version{stored.second.value(), era}});
+        }
+    }
+
     void run(core::instant until)
     {
         while (!scheduled_.empty() && scheduled_.begin()->first <= until) {
@@ -99,7 +116,8 @@
     }
 
     core::instant now{std::chrono::hours{1}};
-    std::map<api::row_key, std::pair<std::string, api::row_version>> rows;
+    row_map rows;
+    api::table_era era;
     bool is_unavailable = false;
     double loss = 0;
     int reads = 0;
@@ -114,7 +132,7 @@
     api::row_version version_of(const api::row_key& key) const
     {
         const auto found = rows.find(key);
-        return found == rows.end() ? api::row_version{} : found->second.second;
+        return found == rows.end() ? api::row_version{0, era} : found->second.second;
     }
 
     bool occurs(double chance) { return std::uniform_real_distribution<>{}(random_) < chance; }
