A configuration write over a restore is neither denied wrongly nor based on a head that lacks a confirmed revision

Callers saw: an operator was told that a change was not accepted and never would be, though the table had accepted it, lost it, and other instances had it in force. And a change that followed a restore was based on the older head: it was accepted with the number of a confirmed revision without its changes, and `--expect` with that revision was refused as a conflict. Cause: reading back compares the head with the one that the write was based on, and took an older table for proof that the write can't take effect; the head row alone decided what a write succeeds. Evidence, before: "check (writers[0]->refusal->kind == core::error_kind::outcome_unknown) has failed" and "check !writers[0]->refusal->not_run has failed" in a_write_whose_table_is_restored_before_it_is_read_back_has_an_unknown_outcome; "check writers[0]->answer_count == 0 has failed [1 != 0]" and "check (writers[0]->accepted_as == core::revision{3}) has failed" in a_write_does_not_follow_a_head_that_has_lost_a_confirmed_revision. Why it works: where the era has changed since the head was read and the own write isn't there, the outcome is unknown, as another instance may write it again. An accepted revision takes the era of the head that it succeeds. An instance that has not heard of the lost revision can still base a write on the older head.

--- a/src/config/configuration_write.cpp
+++ b/src/config/configuration_write.cpp
@@ -77,7 +77,7 @@
 
 void configuration_write::handle(const api::table_rows& event)
 {
-    latest_.set(read_head(event.rows));
+    latest_.set(read_head(event));
     stored_.set(std::nullopt);
     if (state_name() == "reading_head") {
         base_.set(latest_.get());
@@ -98,24 +98,29 @@
                                             : write_event::table_unavailable);
 }
 
-configuration_write::head configuration_write::read_head(const std::vector<api::row>& rows) const
+configuration_write::head configuration_write::read_head(const api::table_rows& answer) const
 {
-    const api::row* row = find_row(rows, head_row());
+    const api::row* row = find_row(answer.rows, head_row());
     if (row == nullptr) {
-        return head{};
+        return head{api::row_version{0, answer.era}, {}, {}};
     }
     const auto copy = codec_.decode(row->value);
-    return copy.ok() ? head{row->version, copy->revision, copy->author}
+    return copy.ok() ? head{row->version, copy->revision, copy->author, copy->era}
                      : head{row->version, core::revision{}, {}};
 }
 
 bool configuration_write::holds(chart::symbol guard) const
 {
     switch (static_cast<write_guard>(guard)) {
+    case write_guard::head_went_back:
+        return host_.in_force() >
+               api::configuration_position{base_.get().era, base_.get().revision};
     case write_guard::expectation_met:
         return proposal_.expected.value_or(base_.get().revision) == base_.get().revision;
     case write_guard::own_write_found:
         return stored_.get().has_value() && stored_.get()->nonce == proposal_.nonce;
+    case write_guard::table_restored:
+        return latest_.get().version.era() != base_.get().version.era();
     case write_guard::head_unchanged:
         return latest_.get().version == base_.get().version;
     case write_guard::write_ruled_out:
@@ -195,10 +200,12 @@
 {
     const head& base = base_.get();
     const core::wall_time now = host_.wall();
-    const api::configuration_copy full{proposed(),      base.revision, proposal_.author,
-                                       proposal_.nonce, now,           proposal_.declarations};
-    const api::configuration_copy summary{proposed(),      base.revision, proposal_.author,
-                                          proposal_.nonce, now,           {}};
+    const api::table_era era = base.version.era();
+    const api::configuration_copy full{
+        proposed(), base.revision, proposal_.author, proposal_.nonce, now, proposal_.declarations,
+        era};
+    const api::configuration_copy summary{
+        proposed(), base.revision, proposal_.author, proposal_.nonce, now, {}, era};
     request_ = host_.commit(
         {api::row_write{head_row(), codec_.encode(summary), base.version},
          api::row_write{revision_row(proposed()), codec_.encode(full), api::row_version{}}});
@@ -207,8 +214,8 @@
 void configuration_write::fence()
 {
     const head& base = base_.get();
-    const api::configuration_copy unchanged{base.revision,   base.revision, base.author,
-                                            proposal_.nonce, host_.wall(),  {}};
+    const api::configuration_copy unchanged{
+        base.revision, base.revision, base.author, proposal_.nonce, host_.wall(), {}, base.era};
     request_ = host_.commit({api::row_write{head_row(), codec_.encode(unchanged), base.version}});
 }
 
--- a/src/config/configuration_write.hpp
+++ b/src/config/configuration_write.hpp
@@ -54,6 +54,9 @@
     /// callback.
     virtual void refused(const core::failure& reason) = 0;
 
+    /// @return position of the configuration that this instance has in force, which was accepted
+    [[nodiscard]] virtual api::configuration_position in_force() const = 0;
+
     /// @return the current wall-clock time
     [[nodiscard]] virtual core::wall_time wall() const = 0;
 };
@@ -73,7 +76,9 @@
 /// One attempt to have declarations accepted as the next configuration. Runs the chart
 /// `configuration_write`. The outcome is always read back from the table. If it is in doubt whether
 /// a write will still be applied, the head row is rewritten first (fencing): the delayed write then
-/// fails on the row version, and the operator can safely be told that it was not accepted.
+/// fails on the row version, and the operator can safely be told that it was not accepted. If the
+/// table is restored after the write was sent, the outcome is unknown: another instance may have
+/// read the lost revision, and will write it again.
 class configuration_write final : private chart::machine_host {
   public:
     /// @param settings time limits
@@ -103,11 +108,14 @@
     [[nodiscard]] const std::string& state_name() const { return machine_.state_name(); }
 
   private:
-    /// Contents of the head row; all zero or empty if the row is absent.
+    /// Contents of the head row; all zero or empty if the row is absent, but for the era of its
+    /// version.
     struct head {
         const api::row_version version;
         const core::revision revision;
         const std::string author;
+        /// Era of the table in which the revision was accepted.
+        const api::table_era era{};
     };
 
     const write_settings settings_;
@@ -129,7 +137,7 @@
     void handle(const api::table_conflict& event);
     void handle(const api::table_rows& event);
     void handle(const api::table_failed& event);
-    [[nodiscard]] head read_head(const std::vector<api::row>& rows) const;
+    [[nodiscard]] head read_head(const api::table_rows& answer) const;
 
     [[nodiscard]] bool holds(chart::symbol guard) const override;
     void perform(chart::symbol action) override;
--- a/src/config/configuration_write_chart.hpp
+++ b/src/config/configuration_write_chart.hpp
@@ -17,8 +17,10 @@
 
 /// Guards of the chart `configuration_write`.
 enum class write_guard : chart::symbol {
+    head_went_back,
     expectation_met,
     own_write_found,
+    table_restored,
     head_unchanged,
     write_ruled_out,
 };
--- a/src/instance/config_component.hpp
+++ b/src/instance/config_component.hpp
@@ -103,6 +103,10 @@
 
     void answer(api::operator_answer answer) override;
     void take_over(const api::configuration_copy& accepted, core::instant now) override;
+    [[nodiscard]] api::configuration_position in_force() const override
+    {
+        return tracker_.position();
+    }
     [[nodiscard]] table::table_client& table() override { return table_; }
     [[nodiscard]] const config::revision_codec& codec() const override { return *codec_; }
     [[nodiscard]] std::shared_ptr<const chart::chart> write_chart() const override
--- a/src/instance/operator_session.cpp
+++ b/src/instance/operator_session.cpp
@@ -143,6 +143,11 @@
     host().answer(api::operator_refusal{caller(), reason});
 }
 
+api::configuration_position apply_session::in_force() const
+{
+    return host().in_force();
+}
+
 core::wall_time apply_session::wall() const
 {
     return core::system_clock{}.wall();
--- a/src/instance/operator_session.hpp
+++ b/src/instance/operator_session.hpp
@@ -21,6 +21,8 @@
     /// Takes over a configuration that was read from the table as the accepted one.
     virtual void take_over(const api::configuration_copy& accepted, core::instant now) = 0;
 
+    /// @return position of the configuration in force
+    [[nodiscard]] virtual api::configuration_position in_force() const = 0;
     /// @return client of the table service
     [[nodiscard]] virtual table::table_client& table() = 0;
     /// @return codec of the rows of revisions
@@ -60,6 +62,7 @@
 
     [[nodiscard]] core::caller_id caller() const { return caller_; }
     [[nodiscard]] session_host& host() { return host_; }
+    [[nodiscard]] const session_host& host() const { return host_; }
 
     api::table_request read(std::vector<api::row_key> rows);
     api::table_request commit(std::vector<api::row_write> writes, core::instant now);
@@ -103,6 +106,7 @@
     void take_over(const api::configuration_copy& accepted) override;
     void accepted(const api::configuration_copy& accepted) override;
     void refused(const core::failure& reason) override;
+    [[nodiscard]] api::configuration_position in_force() const override;
     [[nodiscard]] core::wall_time wall() const override;
 };
 
--- a/tests/config/configuration_write_test.cpp
+++ b/tests/config/configuration_write_test.cpp
@@ -6,6 +6,7 @@
 #include "chart/library.hpp"
 #include "config/fakes.hpp"
 #include "config/revision_rows.hpp"
+#include "core/cell.hpp"
 
 using namespace cyclamen;
 
@@ -42,12 +43,17 @@
     {
         ++answer_count;
         accepted_as = given.revision;
+        accepted_era = given.era;
     }
     void refused(const core::failure& reason) override
     {
         ++answer_count;
         refusal.emplace(reason);
     }
+    [[nodiscard]] api::configuration_position in_force() const override
+    {
+        return in_force_position.get();
+    }
     [[nodiscard]] core::wall_time wall() const override { return {}; }
 
     std::function<void(api::table_event)> answer()
@@ -73,6 +79,8 @@
     int answer_count = 0;
     int take_over_count = 0;
     std::optional<core::revision> accepted_as;
+    std::optional<api::table_era> accepted_era;
+    core::cell<api::configuration_position> in_force_position{api::configuration_position{}};
     std::optional<core::failure> refusal;
     config::configuration_write write;
 };
@@ -132,6 +140,45 @@
     BOOST_TEST(writers[0]->refusal->not_run);
 }
 
+BOOST_AUTO_TEST_CASE(a_write_whose_table_is_restored_before_it_is_read_back_has_an_unknown_outcome)
+{
+    test::lossy_table table{1};
+    run(table, single_writer(table, "ann"), std::chrono::seconds{1});
+    const auto earlier = table.rows;
+    const auto writers = single_writer(table, "bob");
+    for (int step = 0; step < 1000 && !writers[0]->is_stored(); ++step) {
+        run(table, writers, std::chrono::milliseconds{5});
+    }
+    BOOST_REQUIRE(writers[0]->is_stored());
+    BOOST_REQUIRE(writers[0]->answer_count == 0);
+    table.restore(earlier);
+    run(table, writers, std::chrono::seconds{5});
+    // Another instance may have read it, and may write it again.
+    BOOST_REQUIRE(writers[0]->refusal.has_value());
+    BOOST_TEST((writers[0]->refusal->kind == core::error_kind::outcome_unknown));
+    BOOST_TEST(!writers[0]->refusal->not_run);
+}
+
+BOOST_AUTO_TEST_CASE(a_write_does_not_follow_a_head_that_has_lost_a_confirmed_revision)
+{
+    test::lossy_table table{1};
+    run(table, single_writer(table, "ann"), std::chrono::seconds{1});
+    const auto earlier = table.rows;
+    run(table, single_writer(table, "bob"), std::chrono::seconds{1});
+    const auto lost = table.rows;
+    table.restore(earlier);
+    const auto writers = single_writer(table, "cid", core::revision{2});
+    writers[0]->in_force_position.set({api::table_era{}, core::revision{2}});
+    run(table, writers, std::chrono::seconds{2});
+    BOOST_TEST(writers[0]->answer_count == 0);
+    for (const auto& [key, stored] : lost) {
+        table.rows.insert_or_assign(key, std::pair{stored.first, api::row_version{9, table.era}});
+    }
+    run(table, writers, std::chrono::seconds{2});
+    BOOST_TEST((writers[0]->accepted_as == core::revision{3}));
+    BOOST_TEST((writers[0]->accepted_era == table.era));
+}
+
 RC_BOOST_PROP(answers_match_the_stored_rows_whatever_the_table_loses, ())
 {
     test::lossy_table table{*rc::gen::arbitrary<std::uint64_t>()};
