A table that went back is logged under the name that operators know

The second write of a lost revision was logged as configuration_written_again; docs/operating-control.md and the list of outer names have configuration_table_went_back, with the fields in_force and head. The name and fields stay, the era is added, and the level is warning, as instances now mend it themselves.

--- a/src/config/configuration_tracker.cpp
+++ b/src/config/configuration_tracker.cpp
@@ -200,7 +200,7 @@
             mark_verified(read.sent, now);
         }
         else {
-            write_again(api::row_version{0, answer.era}, read, now);
+            write_again(api::row_version{0, answer.era}, core::revision{}, read, now);
         }
         return;
     }
@@ -216,22 +216,22 @@
         send_read({revision_row(head->revision)}, head->revision, read.sent);
     }
     else {
-        write_again(row->version, read, now);
+        write_again(row->version, head->revision, read, now);
     }
 }
 
-void configuration_tracker::write_again(api::row_version head, const pending_read& read,
-                                        core::instant now)
+void configuration_tracker::write_again(api::row_version head, core::revision head_revision,
+                                        const pending_read& read, core::instant now)
 {
     if (position() != read.held) {
         // The configuration came into force after the table was read.
         return;
     }
     const api::configuration_copy& lost = *in_force();
-    core::log_event(core::log_level::warning, "configuration_written_again",
-                    {{"revision", lost.revision.value()},
-                     {"era", lost.era.value()},
-                     {"table_era", head.era().value()}});
+    core::log_event(core::log_level::warning, "configuration_table_went_back",
+                    {{"in_force", lost.revision.value()},
+                     {"head", head_revision.value()},
+                     {"era", head.era().value()}});
     const api::configuration_copy summary{lost.revision, lost.base, lost.author, lost.nonce,
                                           lost.accepted, {},        lost.era};
     host_.commit({api::row_write{head_row(), codec_.encode(summary), head},
--- a/src/config/configuration_tracker.hpp
+++ b/src/config/configuration_tracker.hpp
@@ -146,7 +146,8 @@
                          core::instant now);
     void handle_revision_row(const std::vector<api::row>& rows, core::revision revision,
                              core::instant sent, core::instant now);
-    void write_again(api::row_version head, const pending_read& read, core::instant now);
+    void write_again(api::row_version head, core::revision head_revision, const pending_read& read,
+                     core::instant now);
     void release_hold(core::instant now);
 };
 
