A call whose claim a restored table has lost is claimed again by the instance that sent it

Callers saw: after the table had come back from a copy, a repeat of a keyed call at another instance found no claim and ran a second time, also while the first run was under way. Cause: a claim was written once, and rested on the table to keep it. Evidence, without the new listener (as before): "check simulation.runs.at("k") == 1 has failed [2 != 1]" in a_key_whose_claim_a_restored_table_has_lost_does_not_run_twice and in a_running_call_whose_claim_a_restored_table_has_lost_does_not_run_twice; "check simulation.results.at(first).body == "filed k as number 1" has failed [filed k as number 2 != filed k as number 1]" in the latter. Why it works: table_client tells its restore listeners of a later era with the first answer that carries it, and call_manager writes the claims of the calls that it remembers to have sent (at most 10,000), on the condition that there is none. A claim of another send stays. The claim writer retries until the table has them. Open, listed in KNOWN-RED.txt: a repeat elsewhere before the sender hears of the restore, or after it has died, runs again (a_repeat_before_the_owner_hears_of_a_restore_has_an_unknown_outcome, disabled by default, "2 != 1").

--- a/src/call/call_manager.cpp
+++ b/src/call/call_manager.cpp
@@ -184,6 +184,21 @@
     advance(*found);
 }
 
+void call_manager::on_store_restored(core::instant now)
+{
+    std::set<std::string> live;
+    for (const auto& [id, each] : calls_) {
+        live.insert(each->context().nonce);
+    }
+    for (const auto& [key, sent] : recent_calls_) {
+        const claim_state state = sent.response.has_value()   ? claim_state::answered
+                                  : live.contains(sent.nonce) ? claim_state::claimed
+                                                              : claim_state::unknown;
+        claim_writer_.save(key, claim_record{state, sent.nonce, sent.body_hash, sent.response},
+                           api::row_version{}, now);
+    }
+}
+
 void call_manager::on_timer(core::instant now)
 {
     now_ = now;
--- a/src/call/call_manager.hpp
+++ b/src/call/call_manager.hpp
@@ -71,6 +71,10 @@
     void on_timer(core::instant now) override;
     [[nodiscard]] std::optional<core::instant> next_deadline() const override;
 
+    /// Called when the store has lost acknowledged writes. Writes the claims of the calls that this
+    /// instance has sent again, so that other instances don't send them too.
+    void on_store_restored(core::instant now);
+
     [[nodiscard]] call_counts counts() const;
     /// @return number of calls in progress
     [[nodiscard]] std::size_t live_count() const { return calls_.size(); }
--- a/src/call/claim_writer.hpp
+++ b/src/call/claim_writer.hpp
@@ -7,9 +7,10 @@
 
 namespace cyclamen::call {
 
-/// Writes the final state of the claims of this instance and retries until the store confirms it.
-/// Writing a released claim also prevents an earlier write of the same claim that is still in
-/// flight from taking effect. Opens no socket and reads no clock. Used on the decision task.
+/// Writes the claims of this instance that no call awaits, their final states above all, and
+/// retries until the store confirms them. Writing a released claim also prevents an earlier write
+/// of the same claim that is still in flight from taking effect. Opens no socket and reads no
+/// clock. Used on the decision task.
 class claim_writer final : private claim_listener {
   public:
     /// @param store persistent store of the claims; outlives this object
@@ -18,7 +19,7 @@
 
     /// Writes a record until it is stored; replaces a pending record with the same nonce.
     /// @param key key of the claim
-    /// @param record the final state; its nonce identifies the owner of the claim
+    /// @param record the record to store; its nonce identifies the owner of the claim
     /// @param expected version that the claim is expected to have
     /// @param now current instant
     void save(const claim_key& key, claim_record record, api::row_version expected,
--- a/src/instance/call_component.cpp
+++ b/src/instance/call_component.cpp
@@ -13,6 +13,7 @@
     : out_{out}, table_{table}, chooser_{std::move(chooser)}, store_{table},
       manager_{settings, std::move(origin), std::move(definition), *chooser_, store_, *this}
 {
+    table_.add_restore_listener(*this);
 }
 
 std::string call_component::make_origin(const core::instance_name& instance)
--- a/src/instance/call_component.hpp
+++ b/src/instance/call_component.hpp
@@ -13,7 +13,9 @@
 namespace cyclamen::instance {
 
 /// Connects the call manager to callers, plain services and the table service.
-class call_component final : public component, private call::call_output {
+class call_component final : public component,
+                             private call::call_output,
+                             private table::restore_listener {
   public:
     /// @param settings limits of calls
     /// @param origin unique name of this incarnation of this instance, see make_origin()
@@ -47,6 +49,7 @@
     call::table_claim_store store_;
     call::call_manager manager_;
 
+    void on_table_restored(core::instant now) override { manager_.on_store_restored(now); }
     void send(api::service_command command) override;
     void send(api::call_answer answer) override;
     void send(api::call_failed failed) override;
--- a/src/table/table_client.cpp
+++ b/src/table/table_client.cpp
@@ -14,14 +14,26 @@
     return std::visit([](const auto& each) { return each.request; }, event);
 }
 
+/// @return the era of the table when it answered, 0 if there was no answer
+api::table_era era_of(const api::table_event& event)
+{
+    if (const auto* committed = std::get_if<api::table_committed>(&event)) {
+        return committed->era;
+    }
+    if (const auto* conflict = std::get_if<api::table_conflict>(&event)) {
+        return conflict->era;
+    }
+    const auto* rows = std::get_if<api::table_rows>(&event);
+    return rows == nullptr ? api::table_era{} : rows->era;
+}
+
 /// @return the answer to a batch, with the request number of one of its commits
 api::table_event with_request_number(const api::table_event& event, api::table_request request)
 {
     if (const auto* failed = std::get_if<api::table_failed>(&event)) {
         return api::table_failed{request, failed->may_be_applied, failed->detail};
     }
-    const auto* committed = std::get_if<api::table_committed>(&event);
-    return api::table_committed{request, committed == nullptr ? api::table_era{} : committed->era};
+    return api::table_committed{request, era_of(event)};
 }
 
 } // namespace
@@ -136,6 +148,7 @@
 void table_client::on_event(const api::table_event& event, core::instant now)
 {
     const api::table_request request = request_of(event);
+    note_era(event, now);
     if (std::holds_alternative<api::table_failed>(event)) {
         ++failures_;
     }
@@ -147,6 +160,18 @@
     }
 }
 
+void table_client::note_era(const api::table_event& event, core::instant now)
+{
+    const api::table_era era = era_of(event);
+    if (era <= era_) {
+        return;
+    }
+    era_ = era;
+    for (restore_listener* each : restore_listeners_) {
+        each->on_table_restored(now);
+    }
+}
+
 void table_client::handle_batch_answer(const batch& answered, const api::table_event& event,
                                        core::instant now)
 {
--- a/src/table/table_client.hpp
+++ b/src/table/table_client.hpp
@@ -23,6 +23,16 @@
     virtual void on_table_answer(const api::table_event& answer, core::instant now) = 0;
 };
 
+/// Is told when the table has lost acknowledged writes. Called by the table client on the decision
+/// task.
+class restore_listener {
+  public:
+    virtual ~restore_listener() = default;
+
+    /// Called with the first answer of an era, before its listener gets it.
+    virtual void on_table_restored(core::instant now) = 0;
+};
+
 /// How commits are batched.
 struct table_client_settings {
     /// Minimum time between two transactions with commits of this instance.
@@ -65,6 +75,12 @@
     /// @return number of the request
     api::table_request scan(std::string table, std::string prefix, table_listener& listener);
 
+    /// Adds a listener, which must outlive this object or its last event.
+    void add_restore_listener(restore_listener& listener)
+    {
+        restore_listeners_.push_back(&listener);
+    }
+
     /// Handles an answer from the platform task.
     void on_event(const api::table_event& event, core::instant now);
 
@@ -96,6 +112,9 @@
     std::deque<pending_commit> pending_;
     std::map<api::table_request, batch> batches_;
     std::map<api::table_request, table_listener*> read_listeners_;
+    std::vector<restore_listener*> restore_listeners_;
+    /// Highest era of an answer.
+    api::table_era era_;
     std::optional<core::instant> last_flush_;
     std::optional<core::instant> flush_deadline_;
     api::table_request last_request_;
@@ -105,6 +124,7 @@
     std::uint64_t failures_ = 0;
 
     [[nodiscard]] api::table_request next_request();
+    void note_era(const api::table_event& event, core::instant now);
     void schedule_flush(core::instant now);
     [[nodiscard]] batch take_batch();
     void send_batch(batch gathered);
--- a/tests/call/call_manager_test.cpp
+++ b/tests/call/call_manager_test.cpp
@@ -139,6 +139,54 @@
     BOOST_TEST(simulation.runs.at("k") == 1);
 }
 
+BOOST_AUTO_TEST_CASE(a_key_whose_claim_a_restored_table_has_lost_does_not_run_twice)
+{
+    call_simulation simulation{2};
+    const auto first = simulation.send(0, "k");
+    simulation.run(1s);
+    BOOST_REQUIRE(simulation.results.at(first).answered);
+    BOOST_REQUIRE(simulation.table.restore(0));
+    // The owner of the claim hears of the restore with the next answer of the table.
+    simulation.send(0, "another");
+    simulation.run(1s);
+    const auto again = simulation.send(1, "k");
+    simulation.run(1s);
+    BOOST_TEST(simulation.results.at(again).body == "filed k as number 1");
+    BOOST_TEST(simulation.runs.at("k") == 1);
+}
+
+BOOST_AUTO_TEST_CASE(a_running_call_whose_claim_a_restored_table_has_lost_does_not_run_twice)
+{
+    call_simulation simulation{2};
+    simulation.next_service_behaviour =
+        behaviours<service_behaviour>({service_behaviour::answers_slowly});
+    const auto first = simulation.send(0, "k");
+    simulation.run(100ms);
+    BOOST_REQUIRE(simulation.table.restore(0));
+    simulation.send(0, "another");
+    // The repeat waits for at most 2 s, the answer takes 3 s.
+    simulation.run(2s);
+    const auto again = simulation.send(1, "k");
+    simulation.run(30s);
+    BOOST_TEST(simulation.results.at(first).body == "filed k as number 1");
+    BOOST_TEST(simulation.results.at(again).body == "filed k as number 1");
+    BOOST_TEST(simulation.runs.at("k") == 1);
+}
+
+// Listed in KNOWN-RED.txt.
+BOOST_AUTO_TEST_CASE(a_repeat_before_the_owner_hears_of_a_restore_has_an_unknown_outcome,
+                     *boost::unit_test::disabled())
+{
+    call_simulation simulation{2};
+    simulation.send(0, "k");
+    simulation.run(1s);
+    BOOST_REQUIRE(simulation.table.restore(0));
+    const auto again = simulation.send(1, "k", true);
+    simulation.run(5s);
+    BOOST_TEST(simulation.runs.at("k") == 1);
+    check_refused(simulation, again, core::error_kind::outcome_unknown);
+}
+
 BOOST_AUTO_TEST_CASE(a_call_without_a_key_is_retried_only_if_nothing_was_sent)
 {
     call_simulation unsent{1};
--- a/tests/call/call_simulation.hpp
+++ b/tests/call/call_simulation.hpp
@@ -153,7 +153,7 @@
     }
 
   private:
-    struct simulated_instance final : call::call_output {
+    struct simulated_instance final : call::call_output, table::restore_listener {
         simulated_instance(call_simulation& owner, bool is_naive, int incarnation)
             : simulation{owner}, client{{},
                                         [this](api::table_command command) {
@@ -167,14 +167,18 @@
                                                                      *this);
             }
             else {
-                handler = std::make_unique<call::call_manager>(
+                auto created = std::make_unique<call::call_manager>(
                     call::call_settings{}, "incarnation" + std::to_string(incarnation),
                     *chart::library::embedded().load("call", call::call_vocabulary()), chooser,
                     store, *this);
+                manager = created.get();
+                handler = std::move(created);
+                client.add_restore_listener(*this);
             }
             handler->configure(call_configuration());
         }
 
+        void on_table_restored(core::instant now) override { manager->on_store_restored(now); }
         void send(api::service_command command) override
         {
             if (const auto* open = std::get_if<api::open_call>(&command)) {
@@ -198,6 +202,7 @@
         table::table_client client;
         call::table_claim_store store;
         std::unique_ptr<call::call_handler> handler;
+        call::call_manager* manager = nullptr;
         core::instant paused_until{};
     };
     using instance_ptr = std::shared_ptr<simulated_instance>;
--- a/tests/table/table_client_test.cpp
+++ b/tests/table/table_client_test.cpp
@@ -109,3 +109,26 @@
     BOOST_TEST(
         (second.answers == std::vector<api::table_event>{api::table_failed{b, true, "lost"}}));
 }
+
+BOOST_FIXTURE_TEST_CASE(restore_listeners_hear_of_each_later_era_once, fixture)
+{
+    struct counter final : table::restore_listener {
+        void on_table_restored(core::instant /*now*/) override { ++count; }
+        int count = 0;
+    };
+    counter restores;
+    client.add_restore_listener(restores);
+    client.read({{"t", "a"}}, first);
+    answer_all();
+    BOOST_TEST(restores.count == 0);
+    BOOST_REQUIRE(table.restore(0));
+    client.read({{"t", "a"}}, first);
+    // An answer from before the restore that arrives after a later one begins no era.
+    const api::table_event late = api::table_rows{client.read({{"t", "a"}}, first), {}};
+    answer_all();
+    client.on_event(late, clock.now());
+    insert("a", first);
+    flush();
+    answer_all();
+    BOOST_TEST(restores.count == 1);
+}
