--- a/src/instance/config_component.hpp
+++ b/src/instance/config_component.hpp
@@ -93,6 +93,7 @@
     [[nodiscard]] session_host& as_session_host() { return *this; }
 
     api::table_request read(std::vector<api::row_key> rows) override;
+    void commit(std::vector<api::row_write> writes, core::instant now) override;
     void send(const api::peer_identity& to, api::peer_message message) override;
     void send_to_random_peers(std::size_t count, api::peer_message message) override;
     void put_in_force(const model::configuration_ptr& configuration, core::instant now) override;
@@ -102,6 +103,10 @@
 
     void answer(api::operator_answer answer) override;
     void take_over(const api::configuration_copy& accepted, core::instant now) override;
+    [[nodiscard]] api::configuration_position in_force() const override
+    {
+        return tracker_.position();
+    }
     [[nodiscard]] table::table_client& table() override { return table_; }
     [[nodiscard]] const config::revision_codec& codec() const override { return *codec_; }
     [[nodiscard]] std::shared_ptr<const chart::chart> write_chart() const override
--- a/src/relay/entry_lifecycle.hpp
+++ b/src/relay/entry_lifecycle.hpp
@@ -103,9 +103,8 @@
     /// @return true while the instance drains after a stop request
     [[nodiscard]] bool is_leaving() const { return machine_.is_in("leaving"); }
 
-    /// @return time in which a request that is accepted now must be answered, empty unless a stop
-    /// was
-    ///         ordered
+    /// @return time in which a request that is accepted now must be answered, empty before a stop
+    ///         is ordered
     [[nodiscard]] std::optional<core::duration> time_for_requests(core::instant now) const;
 
     /// @return true if this instance is listed as accepting requests
--- a/tests/table/memory_table_test.cpp
+++ b/tests/table/memory_table_test.cpp
@@ -49,11 +49,59 @@
                                              api::row{{"t", "b/2"}, "x", api::row_version{1}}}}}));
 }
 
+BOOST_AUTO_TEST_CASE(a_restored_table_has_lost_the_later_transactions_and_begins_an_era)
+{
+    table::memory_table table;
+    std::ignore = table.apply(api::table_commit{request_number, {write("a", "1")}});
+    std::ignore =
+        table.apply(api::table_commit{request_number, {write("a", "2"), write("b", "1")}});
+    std::ignore = table.apply(api::table_commit{request_number, {write("b", "2")}});
+    BOOST_TEST(!table.restore(4));
+    BOOST_TEST(table.restore(1));
+    BOOST_TEST(table.transactions() == 1U);
+    const api::table_era era{1};
+    BOOST_TEST((table.apply(api::table_scan{request_number, "t", ""}) ==
+                api::table_event{api::table_rows{
+                    request_number, {api::row{{"t", "a"}, "1", api::row_version{1, era}}}, era}}));
+    BOOST_TEST((table.apply(api::table_commit{request_number, {write("b", "3", 0)}}) ==
+                api::table_event{api::table_committed{request_number, era}}));
+}
+
+BOOST_AUTO_TEST_CASE(a_version_from_before_a_restore_does_not_overwrite_a_later_row)
+{
+    table::memory_table table;
+    std::ignore = table.apply(api::table_commit{request_number, {write("a", "lost", 0)}});
+    BOOST_TEST(table.restore(0));
+    std::ignore = table.apply(api::table_commit{request_number, {write("a", "later", 0)}});
+    const auto answer = table.apply(api::table_commit{request_number, {write("a", "stale", 1)}});
+    const api::table_era era{1};
+    BOOST_TEST(
+        (answer ==
+         api::table_event{api::table_conflict{
+             request_number, {api::row{{"t", "a"}, "later", api::row_version{1, era}}}, era}}));
+}
+
+BOOST_AUTO_TEST_CASE(a_row_that_was_absent_before_a_restore_may_be_absent_no_longer)
+{
+    table::memory_table table;
+    BOOST_TEST(table.restore(0));
+    const api::row_write stale{{"t", "a"}, "stale", api::row_version{0, api::table_era{0}}};
+    const api::row_write current{{"t", "a"}, "new", api::row_version{0, api::table_era{1}}};
+    BOOST_TEST(table.restore(0));
+    BOOST_TEST((std::holds_alternative<api::table_conflict>(
+        table.apply(api::table_commit{request_number, {current}}))));
+    // A version without an era says that the row must be absent in whichever era.
+    BOOST_TEST((std::holds_alternative<api::table_committed>(
+        table.apply(api::table_commit{request_number, {stale}}))));
+}
+
 BOOST_AUTO_TEST_CASE(commands_and_answers_round_trip_through_the_codec)
 {
     const std::string bytes{"\0\xff binary", 9};
+    const api::table_era era{2};
     const api::table_commit commit{request_number,
                                    {api::row_write{{"t", "a"}, bytes, api::row_version{3}},
+                                    api::row_write{{"t", "c"}, "", api::row_version{3, era}},
                                     api::row_write{{"t", "b"}, "", std::nullopt}}};
     for (const api::table_command& command :
          {api::table_command{commit},
@@ -74,6 +122,11 @@
     expect_round_trip(commit, api::table_conflict{request_number, {row}});
     expect_round_trip(api::table_scan{request_number, "t", ""},
                       api::table_rows{request_number, {row}});
+    const api::row restored{{"t", "a"}, bytes, api::row_version{4, era}};
+    expect_round_trip(commit, api::table_committed{request_number, era});
+    expect_round_trip(commit, api::table_conflict{request_number, {restored}, era});
+    expect_round_trip(api::table_scan{request_number, "t", ""},
+                      api::table_rows{request_number, {restored}, era});
 }
 
 BOOST_AUTO_TEST_CASE(the_status_decides_whether_a_write_may_have_been_applied)
