The own front answers what is open when the instance ends

What callers saw: calls and generations still open at the drain limit lost their connection without an answer.

Cause: the front task closed its server with the requests open.

Evidence, tests/instance/call_test on the code before: error: in "a_call_open_at_the_drain_limit_is_answered_before_its_connection_ is_closed": check answer.status == 502 has failed [0 != 502]

Change: when it stops, the front task answers open requests whose answers have not begun with outcome_unknown, which promises nothing. Streams that have begun are cut as before. The bytes reach the operating system before the connection is closed, so they are delivered before its end.

--- a/src/http/front_task.cpp
+++ b/src/http/front_task.cpp
@@ -67,6 +67,7 @@
 
 void front_task::on_stop()
 {
+    fail_open_requests();
     server_.reset();
 }
 
@@ -107,6 +108,7 @@
 void front_task::on_disconnect(exchange_id exchange)
 {
     callers_.erase(to_caller(exchange));
+    calls_.erase(exchange);
     decisions_.send(api::caller_gone{to_caller(exchange)});
 }
 
@@ -139,6 +141,7 @@
         reject(exchange, core::to_failure(decoded.status(), true));
         return;
     }
+    calls_.insert(exchange);
     decisions_.send(*decoded);
 }
 
@@ -157,6 +160,25 @@
     server_->respond(exchange, head, encode_error(reason));
 }
 
+void front_task::fail_open_requests()
+{
+    const core::failure reason = core::to_failure(
+        core::make_error(core::error_kind::outcome_unknown,
+                         "the instance has ended before the request was answered",
+                         "query the service, or send the request again if it may run twice"),
+        false);
+    for (const auto& [caller, state] : callers_) {
+        if (!state.head_sent) {
+            reject(to_exchange(caller), reason);
+        }
+    }
+    for (const exchange_id call : calls_) {
+        reject(call, reason);
+    }
+    callers_.clear();
+    calls_.clear();
+}
+
 void front_task::handle(const api::answer_tokens& answer)
 {
     const auto found = callers_.find(answer.caller);
@@ -298,11 +320,13 @@
 
 void front_task::handle(const api::call_answer& answer)
 {
+    calls_.erase(to_exchange(answer.caller));
     server_->respond(to_exchange(answer.caller), to_head(answer.response), answer.response.body);
 }
 
 void front_task::handle(const api::call_failed& answer)
 {
+    calls_.erase(to_exchange(answer.caller));
     reject(to_exchange(answer.caller), answer.reason);
 }
 
--- a/src/http/front_task.hpp
+++ b/src/http/front_task.hpp
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "api/caller_messages.hpp"
@@ -48,6 +49,8 @@
     task::ordered_sender<api::front_event> decisions_;
     std::unique_ptr<server> server_;
     std::map<core::caller_id, caller_state> callers_;
+    /// Open calls to services.
+    std::set<exchange_id> calls_;
     core::cell<api::admission> admission_{api::admission{"serving", std::nullopt, false}};
 
     absl::Status on_start() override;
@@ -60,6 +63,9 @@
     void on_completion(exchange_id exchange, const request& received, completion_form form);
     void on_call(exchange_id exchange, const request& received);
     void reject(exchange_id exchange, const core::failure& reason);
+    /// Answers all open requests whose answers have not begun with a failure that doesn't say
+    /// whether they have run.
+    void fail_open_requests();
 
     void handle(const api::answer_tokens& answer);
     void handle(const api::answer_complete& answer);
--- a/tests/instance/call_test.cpp
+++ b/tests/instance/call_test.cpp
@@ -43,6 +43,7 @@
                  {"failure_domain", "regina"},
                  {"listen", core::to_string(address)},
                  {"log_level", "error"},
+                 {"drain_limit_ms", 500},
                  {"platform",
                   {{"table", core::to_string(table_address)}, {"answer_limit_ms", 200}}},
                  {"call", {{"claim_limit_ms", 800}, {"answer_limit_ms", 1000}}},
@@ -289,3 +290,21 @@
     fixture.fault(service_fault::none);
     BOOST_TEST(fixture.runs().empty());
 }
+
+BOOST_AUTO_TEST_CASE(a_call_open_at_the_drain_limit_is_answered_before_its_connection_is_closed)
+{
+    for (const std::string key : {"k", ""}) {
+        call_fixture fixture;
+        fixture.fault(service_fault::paused_before);
+        fixture.send(0, key);
+        std::this_thread::sleep_for(100ms);
+        fixture.instances.front()->request_stop();
+        const auto left = fixture.instances.front()->wait_left(10s);
+        BOOST_REQUIRE(left.has_value());
+        BOOST_TEST(left->work_cut);
+        fixture.instances.front()->stop();
+        const auto answer = fixture.next();
+        BOOST_TEST(answer.status == 502);
+        BOOST_TEST(says_unknown(answer), answer.body);
+    }
+}
