Requests open at the end of a shutdown end as if their time were up

They were answered by commands beside the request's chart and logged as if their callers had left. The chart's own event for the end of the time gives the outcome that is true for each: refused if no target has received the request, failed if one may have run it, cut if its answer has begun.

--- a/src/relay/entry_lifecycle.hpp
+++ b/src/relay/entry_lifecycle.hpp
@@ -68,7 +68,7 @@
     virtual void refuse_connections() = 0;
     [[nodiscard]] virtual bool has_work() const = 0;
 
-    /// Ends all open requests with a failure that doesn't say whether they have run.
+    /// Ends all open requests as if their time were up.
     virtual void fail_open_requests() = 0;
 
     /// The process may exit.
--- a/src/relay/relay_manager.cpp
+++ b/src/relay/relay_manager.cpp
@@ -462,17 +462,9 @@
         const request_number number = it->first;
         relayed_request& open = *it->second;
         ++it;
-        const caller_id caller = open.plan().submitted.caller;
         core::log_event(core::log_level::warning, "request_overdue_at_shutdown",
                         {{"request", open.plan().submitted.content->id}});
-        // Only the first of these commands that applies has an effect: an answer that has begun can
-        // only be cut.
-        host_.send(answer_refused{
-            caller, core::failure{core::error_kind::deadline_exceeded,
-                                  "the instance is shutting down; the request may have run", false,
-                                  settings_.requests.retry_after}});
-        host_.send(answer_cut{caller});
-        open.on_caller_gone(now_);
+        open.on_shutdown(now_);
         update_or_remove(number);
     }
 }
--- a/src/relay/relayed_request.cpp
+++ b/src/relay/relayed_request.cpp
@@ -49,6 +49,11 @@
     raise(request_event::caller_left, now);
 }
 
+void relayed_request::on_shutdown(core::instant now)
+{
+    raise(request_event::time_up, now);
+}
+
 void relayed_request::on(const stream_begun& report, core::instant now)
 {
     if (!answer_begun_) {
--- a/src/relay/relayed_request.hpp
+++ b/src/relay/relayed_request.hpp
@@ -145,6 +145,8 @@
     void start(core::instant now);
 
     void on_caller_gone(core::instant now);
+    /// The instance stops: the request ends as if its time were up.
+    void on_shutdown(core::instant now);
     void on(const stream_begun& report, core::instant now);
     void on(const stream_events& report, core::instant now);
     void on(const stream_finished& report, core::instant now);
