Changes since a version of an earlier era are never taken for changes of the new one

An instance could miss rows for good after a restore of the store, among them a configuration: another instance passed the restored table on while a feed request of the earlier era was open, and the answer to that request was then compared with the new version. Found in review.

--- a/tests/platform/table_follower_test.cpp
+++ b/tests/platform/table_follower_test.cpp
@@ -232,3 +232,16 @@
     fixture.answer(200, row, 3, "2");
     BOOST_TEST(fixture.tables_published == 1U);
 }
+
+BOOST_AUTO_TEST_CASE(
+    changes_since_a_version_of_the_earlier_era_are_not_taken_for_changes_of_the_new_one)
+{
+    follower_fixture fixture;
+    fixture.answer(200, row, 100);
+    fixture.advance(10ms);
+    // Another instance passes on the restored table while the feed request is open.
+    fixture.follow({2, 60});
+    fixture.answer(200, row, 105, "2");
+    BOOST_TEST(fixture.changes_published == 0U);
+    BOOST_TEST(fixture.requests.back().starts_with("/rows-get?table=op"));
+}
