Rows that a restore has lost are written again though their writer can't see it

An instance whose first list of instances is that of the restored store was never listed, since it compares later lists with the first one; a record of a crash whose writer has ended stayed lost, and with it the quarantine.

A serving instance that a complete list lacks lists itself again, and the first instance of the list writes the records of those that have ended. an_instance_that_the_first_complete_list_lacks_is_listed_again ("[1 != 2]") and a_record_whose_writer_has_ended_is_written_again_if_a_restore_lost_it failed before.

--- a/src/relay/crash_evidence.cpp
+++ b/src/relay/crash_evidence.cpp
@@ -42,11 +42,11 @@
     records_.erase(name);
 }
 
-std::vector<crash_record> crash_evidence::own_reported() const
+std::vector<crash_record> crash_evidence::reported() const
 {
     std::vector<crash_record> found;
     for (const auto& [name, known] : records_) {
-        if (known.own && known.reported) {
+        if (known.reported || !known.own) {
             found.push_back(known.record);
         }
     }
--- a/src/relay/crash_evidence.hpp
+++ b/src/relay/crash_evidence.hpp
@@ -62,8 +62,8 @@
 
     void remove(const std::string& name);
 
-    /// @return the records of this instance that other instances were told of
-    [[nodiscard]] std::vector<crash_record> own_reported() const;
+    /// @return the records that all instances were told of
+    [[nodiscard]] std::vector<crash_record> reported() const;
 
     /// Counts a request that a target answered without a crash.
     void add_answered(const core::service_name& service, const request_traits& traits);
--- a/src/relay/relay_manager.hpp
+++ b/src/relay/relay_manager.hpp
@@ -103,6 +103,8 @@
     void on(const configuration_confirmed& confirmation);
     void on(const crashes_listed& update);
     void on(const crashes_restored& restored);
+    /// @return true if this instance writes a record that the store has lost
+    [[nodiscard]] bool reports_again(const crash_record& lost) const;
     void on(const rollouts_listed& update);
     void on(const rollout_reports_listed& update);
     void apply_order(const rollout_order& order);
@@ -112,6 +114,8 @@
     void on(const targets_listed& update);
     void on(const members_listed& update);
     void on(const members_restored& restored);
+    /// @return true if this instance is listed as accepting requests
+    [[nodiscard]] bool lists_self() const;
     void on(const instance_answered& answer);
     void watch();
     void on(const stop_requested& request);
--- a/src/relay/relay_manager_crashes.cpp
+++ b/src/relay/relay_manager_crashes.cpp
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include "core/hash.hpp"
 #include "core/log.hpp"
 #include "core/text.hpp"
@@ -22,10 +24,23 @@
     }
 }
 
+bool relay_manager::reports_again(const crash_record& lost) const
+{
+    const auto is_writer = [&lost](const core::instance_name& name) {
+        return lost.name.starts_with(core::concat(name.str(), "-"));
+    };
+    const std::vector<member> members = members_.members();
+    const bool writer_listed = std::any_of(
+        members.begin(), members.end(), [&](const member& each) { return is_writer(each.name); });
+    // One instance of the fleet stands in for those that have ended.
+    return is_writer(settings_.name) ||
+           (!writer_listed && !members.empty() && members.front().name == settings_.name);
+}
+
 void relay_manager::on(const crashes_restored& restored)
 {
-    for (const crash_record& each : crashes_.own_reported()) {
-        if (!restored.present.contains(each.name)) {
+    for (const crash_record& each : crashes_.reported()) {
+        if (!restored.present.contains(each.name) && reports_again(each)) {
             core::log_event(core::log_level::info, "crash_row_lost", {{"record", each.name}});
             host_.send(report_crash{each});
         }
--- a/src/relay/relay_manager_members.cpp
+++ b/src/relay/relay_manager_members.cpp
@@ -11,9 +11,10 @@
 void relay_manager::on(const members_listed& update)
 {
     members_.update(update.complete, update.present, update.gone);
-    if (lifecycle_.is_serving() &&
-        std::find(update.gone.begin(), update.gone.end(), settings_.name) != update.gone.end()) {
-        // Another instance could not reach this one for a while and withdrew its entry.
+    const bool withdrawn =
+        std::find(update.gone.begin(), update.gone.end(), settings_.name) != update.gone.end();
+    if (lifecycle_.is_serving() && (withdrawn || (update.complete && !lists_self()))) {
+        // Another instance could not reach this one for a while, or the store has lost its entry.
         core::log_event(core::log_level::warning, "instance_missed", {});
         host_.send(announce_member{true});
     }
@@ -27,6 +28,13 @@
     }
 }
 
+bool relay_manager::lists_self() const
+{
+    const std::vector<member> members = members_.members();
+    return std::any_of(members.begin(), members.end(),
+                       [this](const member& each) { return each.name == settings_.name; });
+}
+
 void relay_manager::on(const members_restored& restored)
 {
     const bool listed = restored.present.contains(settings_.name);
--- a/tests/relay/member_test.cpp
+++ b/tests/relay/member_test.cpp
@@ -91,3 +91,12 @@
     fixture.handle(relay::members_restored{{self}});
     BOOST_TEST(test::relay_fixture::count<relay::announce_member>(fixture.to_store) == before + 1);
 }
+
+BOOST_AUTO_TEST_CASE(an_instance_that_the_first_complete_list_lacks_is_listed_again)
+{
+    test::relay_fixture fixture;
+    const std::size_t before = test::relay_fixture::count<relay::announce_member>(fixture.to_store);
+    fixture.handle(
+        relay::members_listed{true, {relay::member_entry{make_member("i-2"), {2, 2}}}, {}});
+    BOOST_TEST(test::relay_fixture::count<relay::announce_member>(fixture.to_store) == before + 1);
+}
--- a/tests/relay/quarantine_test.cpp
+++ b/tests/relay/quarantine_test.cpp
@@ -103,3 +103,29 @@
     }
     BOOST_TEST(relay_fixture::count<relay::report_crash>(fixture.to_store) == 0U);
 }
+
+BOOST_AUTO_TEST_CASE(a_record_whose_writer_has_ended_is_written_again_if_a_restore_lost_it)
+{
+    relay_fixture fixture;
+    const auto record = [](const std::string& name) {
+        return relay::crash_record{name, core::service_name{"engines"}, {"deadly"}};
+    };
+    fixture.handle(relay::crashes_listed{{record("gone-7-1"), record("i-2-8-1")}, {}});
+    fixture.handle(relay::members_listed{
+        false,
+        {relay::member_entry{
+            relay::member{core::instance_name{"i-2"}, core::socket_address{"10.1.1.2", 80},
+                          core::failure_domain_name{"a"}, core::socket_address{"10.1.1.2", 81}},
+            {1, 2}}},
+        {}});
+    const auto reported = [&] {
+        return relay_fixture::count<relay::report_crash>(fixture.to_store);
+    };
+    fixture.handle(relay::crashes_restored{{"gone-7-1", "i-2-8-1"}});
+    BOOST_TEST(reported() == 0U);
+    // The writer of the other record is listed and writes it itself.
+    fixture.handle(relay::crashes_restored{{}});
+    BOOST_REQUIRE(reported() == 1U);
+    BOOST_TEST(relay_fixture::find_last<relay::report_crash>(fixture.to_store)->crash.name ==
+               "gone-7-1");
+}
