A safe request looks for another target as long as its own one is silent

It looked once: if no other target could take it at that moment, it stayed at the silent one until its time limit.

--- a/tests/relay/stream_test.cpp
+++ b/tests/relay/stream_test.cpp
@@ -571,3 +571,18 @@
     fixture.handle(relay::stream_finished{fixture.last_attempt().attempt});
     BOOST_TEST(relay_fixture::count<relay::answer_finished>(fixture.to_entries) == 1U);
 }
+
+BOOST_AUTO_TEST_CASE(a_safe_request_at_a_silent_target_moves_once_another_target_is_listed)
+{
+    relay_fixture fixture{relay::request_kind::safe};
+    fixture.list_targets(1);
+    fixture.submit(1);
+    const auto attempts = [&] {
+        return relay_fixture::count<relay::open_attempt>(fixture.to_targets);
+    };
+    fixture.advance(5s);
+    BOOST_TEST(attempts() == 1U);
+    fixture.list_targets(2);
+    fixture.advance(5s);
+    BOOST_TEST(attempts() > 1U);
+}
