--- a/tests/relay/crash_evidence_test.cpp
+++ b/tests/relay/crash_evidence_test.cpp
@@ -142,7 +142,9 @@
     const core::instant now{};
     const core::service_name service{"engines"};
     evidence.add(relay::crash_record{"other-1", service, {"a"}}, now);
-    BOOST_TEST(evidence.reported().empty());
+    BOOST_TEST(evidence.add_own(relay::crash_record{"self-0", service, {"b"}}, now).empty());
+    BOOST_REQUIRE(evidence.reported().size() == 1U);
+    BOOST_TEST(evidence.reported().front().name == "other-1");
     BOOST_TEST(evidence.add_own(relay::crash_record{"self-1", service, {"a"}}, now).size() == 2U);
     BOOST_TEST(evidence.reported().size() == 2U);
 }
