--- a/review/2/case.py
+++ b/review/2/case.py
@@ -9,7 +9,7 @@
 import harness
 
 CONTACT_S = 3.0
-SOUND_PER_S = 12
+SOUND_PER_S = 20
 DEADLY_EVERY_S = 0.7
 CALM_S = 6.0
 MEASURED_S = 6.0
@@ -29,8 +29,8 @@
             return True
         return False
 
-    for number in range(1, 5):
-        runner = deployment.engine(number, events=60, gap_s=0.05)
+    for number in range(1, 7):
+        runner = deployment.engine(number, events=40, gap_s=0.05)
         runner.before_answer = crash
     await deployment.start(relays=3)
     await asyncio.sleep(CONTACT_S + 0.5)
@@ -43,7 +43,7 @@
     async def send(ident, parts):
         caller = harness.Caller(sorted(open_entries)[number % len(open_entries)])
         answer = await caller.send("POST", "/draft/2f", harness.stream_fields(ident, parts, tokens_in=500),
-                                   b"x" * 500, patience_s=25, gap_s=18)
+                                   ident.encode().ljust(500, b"."), patience_s=25, gap_s=18)
         caller.close()
         return answer
 
@@ -52,14 +52,12 @@
         answer = await send(ident, ["5c1e07a2:200", f"{ident}:300"])
         began = any(each[1] == ident for runner in deployment.runners for each in runner.began)
         sound.append((sent, began, answer))
-        if not answer.whole or answer.status != 200:
-            record.line(f"sound {ident}: {answer.text()} retry-after={answer.fields.get('retry-after', '-')} "
-                        f"began={began} {answer.body[:80]!r}")
+        if not began:
+            record.line(f"sound {ident} did not begin: {answer.body[:80]!r}")
 
     async def send_deadly():
         ident = harness.new_id("deadly")
-        answer = await send(ident, ["5c1e07a2:200", "bad0bad0:100", f"{ident}:200"])
-        record.line(f"deadly {ident}: {answer.text()} retry-after={answer.fields.get('retry-after', '-')}")
+        await send(ident, ["5c1e07a2:200", "bad0bad0:100", f"{ident}:200"])
 
     async def traffic():
         nonlocal number
