--- a/review/3/case.py
+++ b/review/3/case.py
@@ -23,7 +23,7 @@
             return True
         return False
 
-    for number in range(1, 7):
+    for number in range(1, 6):
         runner = deployment.engine(number, events=60, gap_s=0.05)
         runner.before_run = crash
     await deployment.start(relays=3)
@@ -35,11 +35,9 @@
         ident = harness.new_id("sound")
         caller = harness.Caller(entries[number % 3])
         answer = await caller.send("POST", "/draft/2f", harness.stream_fields(ident, [f"a{number}:200", f"{ident}:300"]),
-                                   b"x" * 500, patience_s=25, gap_s=18)
+                                   ident.encode().ljust(500, b"."), patience_s=25, gap_s=18)
         caller.close()
         sound.append(answer)
-        if not answer.whole or answer.status != 200:
-            record.line(f"sound {ident}: {answer.text()}")
 
     async def traffic():
         number = 0
@@ -54,10 +52,10 @@
         content = b"deadly" * 50 if disturbed else b"simple" * 50
         ident = harness.new_id("deadly")
         caller = harness.Caller(entries[number % 3])
-        answer = await caller.send("POST", "/draft/2f", harness.stream_fields(ident, ["a7:200", "own7:300"]),
-                                   content, patience_s=25, gap_s=18)
+        await caller.send("POST", "/draft/2f", harness.stream_fields(ident, ["a7:200", "own7:300"]), content,
+                          patience_s=25, gap_s=18)
         caller.close()
-        record.line(f"deadly {ident}: {answer.text()}; crashes so far: {len(arrivals)}")
+        record.line(f"crashes so far: {len(arrivals)}")
         await asyncio.sleep(AGAIN_S)
     flow.cancel()
     await asyncio.wait(tasks, timeout=10)
