--- a/review/4/case.py
+++ b/review/4/case.py
@@ -42,12 +42,9 @@
         ident = harness.new_id("file")
         answer = await send(ident, number, f"notice {ident}".encode())
         sound.append(answer)
+        answer.ran = any(each[1] == ident for runner in deployment.runners for each in runner.began)
         if answer.status != 200:
-            began = any(each[1] == ident for runner in deployment.runners for each in runner.began)
-            record.line(f"sound {ident}: {answer.text()} began={began}")
-            answer.ran = began
-        else:
-            answer.ran = True
+            record.line(f"sound {ident} was not served; it had begun to run: {answer.ran}")
 
     async def traffic():
         number = 0
@@ -60,8 +57,8 @@
     await asyncio.sleep(3)
     for number in range(TIMES):
         ident = harness.new_id("deadly")
-        answer = await send(ident, number, b"deadly" * 50 if disturbed else b"simple" * 50)
-        record.line(f"deadly {ident}: {answer.text()}; crashes so far: {len(arrivals)}")
+        await send(ident, number, b"deadly" * 50 if disturbed else b"simple" * 50)
+        record.line(f"crashes so far: {len(arrivals)}")
         await asyncio.sleep(AGAIN_S)
     flow.cancel()
     await asyncio.wait(tasks, timeout=10)
