--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -620,6 +620,7 @@
         if os.environ.get("KEEP_LOGS"):
             for path in self.folder.glob("*.log"):
                 (pathlib.Path(os.environ["KEEP_LOGS"]) / path.name).write_bytes(path.read_bytes())
+        self.temporary.cleanup()
 
 
 _last = 0
