relay: what clears a trait reaches instances that have just started

Cause: accusations were rows of the store that last five minutes; what refuted them were counts in each process, which a restart forgets. And each stream that had just begun beside the deadly one counted as a crash of its own, so that the part that most requests share was accused most.

Why it works: records name the incarnation that ended, so that one crash is one observation; of its suspects those whose traits occur in fewer crashes than another's are cleared (find_deadly_sets); and a record says which of its traits were answered, which a new process takes over with it.

--- a/src/relay/crash_evidence.cpp
+++ b/src/relay/crash_evidence.cpp
@@ -2,57 +2,79 @@
 
 #include <algorithm>
 
+#include "core/log.hpp"
+#include "core/text.hpp"
+
 namespace cyclamen::relay {
 
-std::vector<crash_record> crash_evidence::add_own(const crash_record& crash, core::instant now)
+namespace {
+
+const std::string& crash_of(const crash_record& record)
+{
+    return record.incarnation.empty() ? record.name : record.incarnation;
+}
+
+void log_deadly_sets(const core::service_name& service, const std::vector<deadly_set>& sets)
+{
+    for (const deadly_set& each : sets) {
+        core::log_event(core::log_level::warning, "traits_quarantined",
+                        {{"service", service.str()}, {"traits", core::join(each.traits, ",")}});
+    }
+    if (sets.empty()) {
+        core::log_event(core::log_level::info, "traits_cleared", {{"service", service.str()}});
+    }
+}
+
+} // namespace
+
+std::string incarnation_name(const core::target_name& target, core::wall_time started_at)
+{
+    return core::concat(target.str(), "@", started_at.time_since_epoch().count());
+}
+
+void crash_evidence::add_own(const crash_record& crash, core::instant now)
 {
     add(crash, now);
     records_.at(crash.name).own = true;
-    std::vector<crash_record> reported;
-    for (const std::string& trait : crash.traits) {
-        const auto crashes = crashes_with(crash.service, trait);
-        if (crashes.size() < settings_.report_threshold) {
-            continue;
-        }
-        for (const known_crash* each : crashes) {
-            known_crash& known = records_.at(each->record.name);
-            if (!known.reported) {
-                known.reported = true;
-                reported.push_back(known.record);
-            }
-        }
-    }
-    return reported;
+    records_.at(crash.name).reported = false;
 }
 
 void crash_evidence::add(const crash_record& crash, core::instant now)
 {
+    outdated_ = true;
     if (const auto known = records_.find(crash.name); known != records_.end()) {
         known->second.reported = true;
+        known->second.answered = crash.answered;
         return;
     }
     if (records_.size() >= settings_.max_records) {
         drop_oldest_record();
     }
-    records_.emplace(crash.name, known_crash{crash, now, false, false});
+    records_.emplace(crash.name, known_crash{crash, now, false, true, crash.answered, {}});
 }
 
 void crash_evidence::remove(const std::string& name)
 {
-    records_.erase(name);
+    outdated_ = records_.erase(name) > 0 || outdated_;
 }
 
 std::vector<crash_record> crash_evidence::reported() const
 {
     std::vector<crash_record> found;
     for (const auto& [name, known] : records_) {
-        if (known.reported || !known.own) {
-            found.push_back(known.record);
+        if (known.reported) {
+            found.push_back(written_record(known));
         }
     }
     return found;
 }
 
+crash_record crash_evidence::written_record(const known_crash& known) const
+{
+    return crash_record{known.record.name, known.record.service, known.record.traits,
+                        known.record.incarnation, known.answered};
+}
+
 void crash_evidence::drop_oldest_record()
 {
     const auto oldest =
@@ -62,82 +84,170 @@
     records_.erase(oldest);
 }
 
+answered_traits& crash_evidence::counter_of(const std::string& trait)
+{
+    return trait.starts_with(fingerprint_prefix) ? answered_fingerprints_ : answered_parts_;
+}
+
 void crash_evidence::add_answered(const core::service_name& service, const request_traits& traits)
 {
     for (const std::string& trait : traits) {
-        const trait_key key{service, trait};
-        if (const auto known = answered_.find(key); known != answered_.end()) {
-            ++known->second;
-            continue;
-        }
-        if (counted_traits_.size() < settings_.max_counted_traits) {
-            counted_traits_.push_back(key);
-        }
-        else {
-            answered_.erase(std::exchange(counted_traits_[oldest_trait_], key));
-            oldest_trait_ = (oldest_trait_ + 1) % counted_traits_.size();
-        }
-        answered_.emplace(key, 1);
+        const std::size_t answers = counter_of(trait).add(service, trait);
+        const bool clears =
+            answers == std::max(settings_.clearing_answers, count_of(own_crashes_, service, trait));
+        outdated_ = outdated_ || (clears && count_of(crashes_, service, trait) > 0);
+    }
+}
+
+std::size_t crash_evidence::count_of(const std::map<core::service_name, trait_crashes>& crashes,
+                                     const core::service_name& service, const std::string& trait)
+{
+    const auto found = crashes.find(service);
+    if (found == crashes.end()) {
+        return 0;
     }
+    const auto seen = found->second.find(trait);
+    return seen == found->second.end() ? 0 : seen->second.size();
+}
+
+bool crash_evidence::is_cleared(const core::service_name& service, const std::string& trait)
+{
+    return counter_of(trait).count(service, trait) >=
+           std::max(settings_.clearing_answers, count_of(own_crashes_, service, trait));
 }
 
-std::vector<const crash_evidence::known_crash*>
-crash_evidence::crashes_with(const core::service_name& service, const std::string& trait) const
+void crash_evidence::index_records()
 {
-    std::vector<const known_crash*> found;
+    crashes_.clear();
+    own_crashes_.clear();
+    marked_.clear();
     for (const auto& [name, known] : records_) {
-        if (known.record.service == service && known.record.traits.contains(trait)) {
-            found.push_back(&known);
+        const core::service_name& service = known.record.service;
+        for (const std::string& trait : known.record.traits) {
+            crashes_[service][trait].insert(crash_of(known.record));
+            if (known.own) {
+                own_crashes_[service][trait].insert(crash_of(known.record));
+            }
         }
     }
-    return found;
+    for (auto& [name, known] : records_) {
+        const core::service_name& service = known.record.service;
+        const std::size_t withdrawn =
+            std::erase_if(known.marked_here, [&](const std::string& trait) {
+                return !is_cleared(service, trait) && known.answered.erase(trait) > 0;
+            });
+        known.reported = known.reported && withdrawn == 0;
+        marked_[service].insert(known.answered.begin(), known.answered.end());
+    }
+}
+
+request_traits crash_evidence::accused_traits(const crash_record& record)
+{
+    request_traits accused = record.traits;
+    std::erase_if(accused, [&](const std::string& trait) {
+        return marked_.at(record.service).contains(trait) || is_cleared(record.service, trait);
+    });
+    return accused;
 }
 
-bool crash_evidence::is_cleared(const core::service_name& service, const std::string& trait,
-                                std::size_t crashes) const
+void crash_evidence::update()
 {
-    const auto answered = answered_.find({service, trait});
-    return answered != answered_.end() && answered->second >= crashes;
+    if (!outdated_) {
+        return;
+    }
+    outdated_ = false;
+    index_records();
+    std::map<core::service_name, std::vector<crash_suspect>> suspects;
+    for (const auto& [name, known] : records_) {
+        request_traits accused = accused_traits(known.record);
+        if (!accused.empty()) {
+            suspects[known.record.service].push_back(
+                crash_suspect{crash_of(known.record), std::move(accused), known.heard_at});
+        }
+    }
+    std::map<core::service_name, std::vector<deadly_set>> former;
+    former.swap(deadly_);
+    for (const auto& [service, found] : suspects) {
+        std::vector<deadly_set> sets = find_deadly_sets(found, settings_.quarantine_threshold);
+        if (sets != former[service]) {
+            log_deadly_sets(service, sets);
+        }
+        deadly_.emplace(service, std::move(sets));
+    }
 }
 
-request_traits crash_evidence::common_traits(const std::vector<const known_crash*>& crashes) const
+std::vector<crash_record> crash_evidence::take_reports()
 {
-    request_traits common;
-    for (const std::string& trait : crashes.front()->record.traits) {
-        const bool in_all =
-            std::all_of(crashes.begin(), crashes.end(), [&](const known_crash* each) {
-                return each->record.traits.contains(trait);
+    std::vector<crash_record> reports;
+    update();
+    for (auto& [name, known] : records_) {
+        const crash_record& record = known.record;
+        const bool is_due =
+            known.own && !known.reported &&
+            std::any_of(record.traits.begin(), record.traits.end(), [&](const auto& trait) {
+                return count_of(crashes_, record.service, trait) >= settings_.report_threshold;
             });
-        if (in_all && !is_cleared(crashes.front()->record.service, trait, crashes.size())) {
-            common.insert(trait);
+        if (!is_due) {
+            continue;
+        }
+        known.reported = true;
+        known.answered = record.traits;
+        std::erase_if(known.answered,
+                      [&](const std::string& trait) { return !is_cleared(record.service, trait); });
+        known.marked_here = known.answered;
+        outdated_ = true;
+        reports.push_back(written_record(known));
+    }
+    return reports;
+}
+
+std::vector<crash_record> crash_evidence::take_amendments()
+{
+    update();
+    std::set<std::string> amended;
+    for (const auto& [service, traits] : crashes_) {
+        for (const auto& [trait, crashes] : traits) {
+            if (crashes.size() < settings_.quarantine_threshold ||
+                marked_.at(service).contains(trait) || !is_cleared(service, trait)) {
+                continue;
+            }
+            // One mark is enough for all records.
+            for (auto& [name, known] : records_) {
+                if (known.reported && known.record.service == service &&
+                    known.record.traits.contains(trait)) {
+                    known.answered.insert(trait);
+                    amended.insert(name);
+                    outdated_ = true;
+                    break;
+                }
+            }
         }
     }
-    return common;
+    std::vector<crash_record> records;
+    for (const std::string& name : amended) {
+        records.push_back(written_record(records_.at(name)));
+    }
+    return records;
 }
 
 std::optional<core::duration> crash_evidence::quarantine_of(const core::service_name& service,
                                                             const request_traits& traits,
-                                                            core::instant now) const
+                                                            core::instant now)
 {
-    if (records_.size() < settings_.quarantine_threshold) {
-        return std::nullopt;
+    update();
+    std::optional<core::duration> longest;
+    const auto found = deadly_.find(service);
+    if (found == deadly_.end()) {
+        return longest;
     }
-    for (const std::string& trait : traits) {
-        const auto crashes = crashes_with(service, trait);
-        if (crashes.size() < settings_.quarantine_threshold ||
-            is_cleared(service, trait, crashes.size())) {
-            continue;
-        }
-        const request_traits common = common_traits(crashes);
-        if (std::includes(traits.begin(), traits.end(), common.begin(), common.end())) {
-            core::instant last = crashes.front()->heard_at;
-            for (const known_crash* each : crashes) {
-                last = std::max(last, each->heard_at);
-            }
-            return std::max(last + settings_.window - now, core::duration::zero());
+    for (const deadly_set& each : found->second) {
+        if (std::includes(traits.begin(), traits.end(), each.traits.begin(), each.traits.end())) {
+            const core::duration left =
+                std::max(each.last_crash + settings_.window - now, core::duration::zero());
+            longest = std::max(longest.value_or(left), left);
         }
     }
-    return std::nullopt;
+    return longest;
 }
 
 std::vector<std::string> crash_evidence::take_expired(core::instant now)
@@ -147,6 +257,7 @@
         if (now - each->second.heard_at >= settings_.window) {
             expired.push_back(each->first);
             each = records_.erase(each);
+            outdated_ = true;
         }
         else {
             ++each;
--- a/src/relay/crash_evidence.hpp
+++ b/src/relay/crash_evidence.hpp
@@ -10,19 +10,25 @@
 
 #include "core/identifier.hpp"
 #include "core/time.hpp"
+#include "relay/answered_traits.hpp"
+#include "relay/deadly_traits.hpp"
 
 namespace cyclamen::relay {
 
-/// Traits of a request that may make engines crash: the parts of its prompt that other requests
-/// share, and its fingerprint.
-using request_traits = std::set<std::string>;
+/// Beginning of the trait that is a request's fingerprint.
+inline constexpr std::string_view fingerprint_prefix = "request:";
 
-/// A target was lost right after it had begun to answer a request.
+/// A request was in progress on a target that ended, and may be the cause.
 struct crash_record {
     /// Unique name of the record.
     const std::string name;
     const core::service_name service;
     const request_traits traits;
+    /// The incarnation of the target that ended; records of the same one tell of one crash. If
+    /// empty, the record is the only one of its crash.
+    const std::string incarnation = {};
+    /// Traits among them with which targets have answered requests; they are not the cause.
+    const request_traits answered = {};
 
     auto operator<=>(const crash_record&) const = default;
 };
@@ -33,12 +39,15 @@
     const std::size_t quarantine_threshold = 3;
     /// Crashes after which a record is worth telling other instances.
     const std::size_t report_threshold = 2;
+    /// Answers that clear a trait, unless this instance has seen more crashes with it.
+    const std::size_t clearing_answers = 3;
     /// How long a record counts.
     const core::duration window = std::chrono::minutes{5};
     /// Maximum number of records; the oldest are dropped first.
     const std::size_t max_records = 256;
-    /// Maximum number of traits whose answered requests are counted.
-    const std::size_t max_counted_traits = 4096;
+    /// Maximum number of prompt parts, and of fingerprints, in a generation of answered_traits.
+    const std::size_t counted_parts = 4096;
+    const std::size_t counted_fingerprints = 1024;
 
     auto operator<=>(const crash_evidence_settings&) const = default;
 };
@@ -48,30 +57,43 @@
 /// with one of its traits have in common, other than traits with which requests were answered: a
 /// request that shares only some of them still runs, and its answer clears those.
 ///
+/// An instance that has just started has seen no answers. The records say which of their traits
+/// others have seen answered, so that it doesn't quarantine what they have cleared.
+///
 /// Opens no socket and reads no clock. Used by the decision task.
 class crash_evidence {
   public:
-    explicit crash_evidence(crash_evidence_settings settings = {}) : settings_{settings} {}
+    explicit crash_evidence(crash_evidence_settings settings = {})
+        : settings_{settings}, answered_parts_{settings.counted_parts},
+          answered_fingerprints_{settings.counted_fingerprints}
+    {
+    }
 
     /// Adds a crash that this instance has seen.
-    /// @return the records that other instances should be told of now
-    [[nodiscard]] std::vector<crash_record> add_own(const crash_record& crash, core::instant now);
+    void add_own(const crash_record& crash, core::instant now);
 
-    /// Adds a crash that another instance has seen. Known records are ignored.
+    /// Adds a crash that another instance has seen, or what was added to a known record.
     void add(const crash_record& crash, core::instant now);
 
     void remove(const std::string& name);
 
-    /// @return the records that all instances were told of
-    [[nodiscard]] std::vector<crash_record> reported() const;
-
     /// Counts a request that a target answered without a crash.
     void add_answered(const core::service_name& service, const request_traits& traits);
 
+    /// @return crashes that other instances should be told of now
+    [[nodiscard]] std::vector<crash_record> take_reports();
+
+    /// @return known records to be written again, since requests with one of their traits were
+    ///         answered here and no record says so; empty if no instance would be misled
+    [[nodiscard]] std::vector<crash_record> take_amendments();
+
+    /// @return the records that all instances were told of
+    [[nodiscard]] std::vector<crash_record> reported() const;
+
     /// @return how long requests with these traits remain quarantined, empty if they may run
     [[nodiscard]] std::optional<core::duration> quarantine_of(const core::service_name& service,
                                                               const request_traits& traits,
-                                                              core::instant now) const;
+                                                              core::instant now);
 
     /// Forgets the records that no longer count.
     /// @return their names
@@ -86,25 +108,44 @@
         /// This instance has seen the crash itself.
         bool own;
         bool reported;
+        /// Traits that the record says were answered.
+        request_traits answered;
+        /// Those of them that this instance has marked when it reported the crash.
+        request_traits marked_here;
     };
-    using trait_key = std::pair<core::service_name, std::string>;
+    /// Crashes by trait.
+    using trait_crashes = std::map<std::string, std::set<std::string>>;
 
     const crash_evidence_settings settings_;
     std::map<std::string, known_crash> records_;
-    /// Number of answered requests by trait, and the order in which the traits were first counted.
-    std::map<trait_key, std::size_t> answered_;
-    std::vector<trait_key> counted_traits_;
-    std::size_t oldest_trait_ = 0;
+    answered_traits answered_parts_;
+    answered_traits answered_fingerprints_;
+    /// Deadly sets by service, and what was used to find them; valid unless outdated_.
+    std::map<core::service_name, std::vector<deadly_set>> deadly_;
+    std::map<core::service_name, trait_crashes> own_crashes_;
+    std::map<core::service_name, trait_crashes> crashes_;
+    /// Traits that a record says were answered.
+    std::map<core::service_name, request_traits> marked_;
+    bool outdated_ = false;
 
     void drop_oldest_record();
-    /// @return records of the service that have the trait
-    [[nodiscard]] std::vector<const known_crash*> crashes_with(const core::service_name& service,
-                                                               const std::string& trait) const;
-    /// @return true if requests with the trait are answered at least as often as they crash
-    [[nodiscard]] bool is_cleared(const core::service_name& service, const std::string& trait,
-                                  std::size_t crashes) const;
-    [[nodiscard]] request_traits
-    common_traits(const std::vector<const known_crash*>& crashes) const;
+    /// Finds the deadly sets anew if anything has changed.
+    void update();
+    void index_records();
+    /// @return the traits of a record that may be the cause of its crash
+    [[nodiscard]] request_traits accused_traits(const crash_record& record);
+    [[nodiscard]] answered_traits& counter_of(const std::string& trait);
+    /// @return number of crashes with the trait
+    [[nodiscard]] static std::size_t
+    count_of(const std::map<core::service_name, trait_crashes>& crashes,
+             const core::service_name& service, const std::string& trait);
+    /// @return true if this instance has seen requests with the trait answered often enough
+    [[nodiscard]] bool is_cleared(const core::service_name& service, const std::string& trait);
+    [[nodiscard]] crash_record written_record(const known_crash& known) const;
 };
 
+/// @return the name of a target's incarnation, for crash_record
+[[nodiscard]] std::string incarnation_name(const core::target_name& target,
+                                           core::wall_time started_at);
+
 } // namespace cyclamen::relay
--- a/src/relay/relay_manager.hpp
+++ b/src/relay/relay_manager.hpp
@@ -134,6 +134,8 @@
     /// @return what may make an engine crash on the request
     [[nodiscard]] static request_traits traits_of(const submission& submitted,
                                                   const core::account_name& account);
+    void report_crashes();
+    void write_crashes(const std::vector<crash_record>& records);
     void withdraw_expired_crashes();
     /// @return the instance that last confirmed the configuration, for the log
     [[nodiscard]] std::string confirming_source() const;
@@ -177,9 +179,9 @@
     std::optional<version_rule> version_rule_for(const request_plan& plan, bool is_first) override;
     void on_attempt_outcome(const request_plan& plan, const target_record& target,
                             core::duration waited, bool failed) override;
-    [[nodiscard]] std::optional<core::duration>
-    quarantine_of(const request_plan& plan) const override;
-    void on_crash(const request_plan& plan, core::attempt_number attempt) override;
+    [[nodiscard]] std::optional<core::duration> quarantine_of(const request_plan& plan) override;
+    void on_crash(const request_plan& plan, core::attempt_number attempt,
+                  const target_record& target) override;
     void on_survived(const request_plan& plan) override;
     void on_loss(const core::target_name& target) override;
     void on_success(const core::target_name& target) override;
--- a/src/relay/relay_manager_crashes.cpp
+++ b/src/relay/relay_manager_crashes.cpp
@@ -20,7 +20,9 @@
         core::log_event(core::log_level::info, "crash_learnt",
                         {{"record", each.name},
                          {"service", each.service.str()},
-                         {"traits", core::join(each.traits, ",")}});
+                         {"incarnation", each.incarnation},
+                         {"traits", core::join(each.traits, ",")},
+                         {"answered", core::join(each.answered, ",")}});
     }
 }
 
@@ -52,39 +54,53 @@
 {
     request_traits traits{submitted.shared_parts.begin(), submitted.shared_parts.end()};
     traits.insert(core::concat(
-        "request:",
+        fingerprint_prefix,
         core::hash_of(account.str(), core::hash_of(submitted.content->path,
                                                    core::hash_of(submitted.content->body)))));
     return traits;
 }
 
-std::optional<core::duration> relay_manager::quarantine_of(const request_plan& plan) const
+std::optional<core::duration> relay_manager::quarantine_of(const request_plan& plan)
 {
     return crashes_.quarantine_of(plan.service, plan.traits, now_);
 }
 
-void relay_manager::on_crash(const request_plan& plan, core::attempt_number attempt)
+void relay_manager::on_crash(const request_plan& plan, core::attempt_number attempt,
+                             const target_record& target)
+{
+    crashes_.add_own(
+        crash_record{core::concat(settings_.name.str(), "-",
+                                  core::hash_of(plan.submitted.content->id), "-", attempt.value()),
+                     plan.service, plan.traits, incarnation_name(target.name, target.started_at)},
+        now_);
+    report_crashes();
+}
+
+void relay_manager::on_survived(const request_plan& plan)
+{
+    const std::vector<std::string>& parts = plan.submitted.shared_parts;
+    crashes_.add_answered(plan.service, request_traits{parts.begin(), parts.end()});
+}
+
+void relay_manager::report_crashes()
 {
-    const crash_record crash{core::concat(settings_.name.str(), "-",
-                                          core::hash_of(plan.submitted.content->id), "-",
-                                          attempt.value()),
-                             plan.service, plan.traits};
-    for (const crash_record& each : crashes_.add_own(crash, now_)) {
+    write_crashes(crashes_.take_reports());
+}
+
+void relay_manager::write_crashes(const std::vector<crash_record>& records)
+{
+    for (const crash_record& each : records) {
         core::log_event(core::log_level::warning, "crash_reported",
                         {{"record", each.name},
                          {"service", each.service.str()},
+                         {"incarnation", each.incarnation},
                          {"traits", core::join(each.traits, ",")},
+                         {"answered", core::join(each.answered, ",")},
                          {"known_crashes", crashes_.size()}});
         host_.send(report_crash{each});
     }
 }
 
-void relay_manager::on_survived(const request_plan& plan)
-{
-    const std::vector<std::string>& parts = plan.submitted.shared_parts;
-    crashes_.add_answered(plan.service, request_traits{parts.begin(), parts.end()});
-}
-
 void relay_manager::withdraw_expired_crashes()
 {
     const std::vector<std::string> expired = crashes_.take_expired(now_);
--- a/src/relay/relay_manager_members.cpp
+++ b/src/relay/relay_manager_members.cpp
@@ -59,6 +59,7 @@
 {
     next_watch_at_ = now_ + settings_.watch.period;
     withdraw_expired_crashes();
+    write_crashes(crashes_.take_amendments());
     if (const auto watched = members_.watched(); watched.has_value()) {
         host_.send(ask_instance{watched->name, watched->readiness_address});
     }
--- a/src/relay/relayed_request.cpp
+++ b/src/relay/relayed_request.cpp
@@ -74,12 +74,14 @@
 
 void relayed_request::on(const stream_finished& /*report*/, core::instant now)
 {
+    note_survived();
     raise(request_event::stream_finished, now);
 }
 
 void relayed_request::on(const attempt_answered& answer, core::instant now)
 {
     may_have_run_ = true;
+    note_survived();
     received_answer_.emplace(answer);
     raise(request_event::answer_arrived, now);
 }
@@ -109,7 +111,7 @@
     loss_detail_ = loss.detail;
     now_ = now;
     if (may_have_crashed_target()) {
-        host_.on_crash(plan_, attempt_);
+        host_.on_crash(plan_, attempt_, placed_->get().target);
     }
     raise(request_event::attempt_lost, now);
 }
--- a/src/relay/relayed_request.hpp
+++ b/src/relay/relayed_request.hpp
@@ -116,11 +116,11 @@
                                     core::duration waited, bool failed) = 0;
 
     /// @return how long the request remains quarantined, empty if it may run
-    [[nodiscard]] virtual std::optional<core::duration>
-    quarantine_of(const request_plan& plan) const = 0;
+    [[nodiscard]] virtual std::optional<core::duration> quarantine_of(const request_plan& plan) = 0;
     /// A target was lost right after it had begun to answer the request.
-    virtual void on_crash(const request_plan& plan, core::attempt_number attempt) = 0;
-    /// A target answered the request for a while without a crash.
+    virtual void on_crash(const request_plan& plan, core::attempt_number attempt,
+                          const target_record& target) = 0;
+    /// A target answered the request, completely or for a while, without a crash.
     virtual void on_survived(const request_plan& plan) = 0;
 
     /// A target lost an attempt or didn't respond.
@@ -239,6 +239,7 @@
     [[nodiscard]] core::duration timeout_duration(request_timeout timeout) const;
     void release_attempt();
     void note_progress();
+    void note_survived();
     void report_outcome(bool failed);
     /// @return true if the current attempt was lost right after its target had begun to answer
     [[nodiscard]] bool may_have_crashed_target() const;
--- a/src/relay/relayed_request_outcome.cpp
+++ b/src/relay/relayed_request_outcome.cpp
@@ -31,7 +31,14 @@
 
 void relayed_request::note_progress()
 {
-    if (!survived_ && begun_at_.has_value() && now_ - *begun_at_ >= settings_.crash_window) {
+    if (begun_at_.has_value() && now_ - *begun_at_ >= settings_.crash_window) {
+        note_survived();
+    }
+}
+
+void relayed_request::note_survived()
+{
+    if (!survived_) {
         survived_ = true;
         host_.on_survived(plan_);
     }
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -240,8 +240,11 @@
 
 BOOST_AUTO_TEST_CASE(a_crash_row_round_trips_and_a_malformed_one_is_an_error)
 {
-    const relay::crash_record crash{
-        "i-0-7-1", core::service_name{"engines"}, {"5c1e07a2", "request:12"}};
+    const relay::crash_record crash{"i-0-7-1",
+                                    core::service_name{"engines"},
+                                    {"5c1e07a2", "request:12"},
+                                    "t-1@1000",
+                                    {"5c1e07a2"}};
     const std::string value = platform::encode_crash(crash);
     BOOST_TEST(
         (platform::decode_crash(replica::row{"i-0-7-1", value, {3, 3}, false}).value() == crash));
--- a/tests/relay/crash_evidence_test.cpp
+++ b/tests/relay/crash_evidence_test.cpp
@@ -15,7 +15,18 @@
     /// @return number of records that are to be reported
     std::size_t crash(const request_traits& traits)
     {
-        return evidence.add_own(record(traits), now).size();
+        evidence.add_own(record(traits), now);
+        return evidence.take_reports().size();
+    }
+
+    /// Adds a crash of a target that another instance has reported.
+    void learn_of(const std::string& incarnation, const request_traits& traits,
+                  const request_traits& answered = {})
+    {
+        const relay::crash_record plain = record(traits);
+        evidence.add(
+            relay::crash_record{plain.name, plain.service, plain.traits, incarnation, answered},
+            now);
     }
 
     /// Adds a crash that another instance has reported.
@@ -28,7 +39,7 @@
         }
     }
 
-    [[nodiscard]] bool is_quarantined(const request_traits& traits) const
+    [[nodiscard]] bool is_quarantined(const request_traits& traits)
     {
         return evidence.quarantine_of(service, traits, now).has_value();
     }
@@ -142,9 +153,86 @@
     const core::instant now{};
     const core::service_name service{"engines"};
     evidence.add(relay::crash_record{"other-1", service, {"a"}}, now);
-    BOOST_TEST(evidence.add_own(relay::crash_record{"self-0", service, {"b"}}, now).empty());
+    evidence.add_own(relay::crash_record{"self-0", service, {"b"}}, now);
+    BOOST_TEST(evidence.take_reports().empty());
     BOOST_REQUIRE(evidence.reported().size() == 1U);
     BOOST_TEST(evidence.reported().front().name == "other-1");
-    BOOST_TEST(evidence.add_own(relay::crash_record{"self-1", service, {"a"}}, now).size() == 2U);
+    evidence.add_own(relay::crash_record{"self-1", service, {"a"}}, now);
+    BOOST_REQUIRE(evidence.take_reports().size() == 1U);
     BOOST_TEST(evidence.reported().size() == 2U);
+    BOOST_TEST(evidence.take_reports().empty());
+}
+
+// Guards against refusals of sound requests that ran beside a deadly one.
+BOOST_AUTO_TEST_CASE(requests_beside_a_deadly_one_are_not_suspected)
+{
+    evidence_fixture fixture;
+    for (int i = 0; i < 4; ++i) {
+        const std::string number = std::to_string(i);
+        fixture.learn_of("t-" + number, {"shared", "deadly", "request:1" + number});
+        fixture.learn_of("t-" + number, {"shared", "request:2" + number});
+        fixture.learn_of("t-" + number, {"shared", "request:3"});
+    }
+    BOOST_TEST(fixture.is_quarantined({"shared", "deadly", "request:5"}));
+    BOOST_TEST(!fixture.is_quarantined({"shared", "request:3"}));
+    BOOST_TEST(!fixture.is_quarantined({"shared", "request:6"}));
+}
+
+BOOST_AUTO_TEST_CASE(several_requests_on_one_target_are_of_one_crash)
+{
+    evidence_fixture fixture;
+    for (int i = 0; i < 9; ++i) {
+        fixture.learn_of("t-" + std::to_string(i % 2), {"part", "request:" + std::to_string(i)});
+    }
+    BOOST_TEST(!fixture.is_quarantined({"part", "request:10"}));
+    fixture.learn_of("t-2", {"part", "request:11"});
+    BOOST_TEST(fixture.is_quarantined({"part", "request:10"}));
+}
+
+// Guards against refusals by an instance that has just started, which has seen no answers.
+BOOST_AUTO_TEST_CASE(an_instance_that_has_just_started_takes_over_what_others_have_cleared)
+{
+    evidence_fixture informed;
+    informed.answer({"shared"}, 8);
+    std::vector<relay::crash_record> written;
+    for (int i = 0; i < 8; ++i) {
+        // Half of the targets crash without a deadly request.
+        const request_traits traits =
+            i % 2 == 0 ? request_traits{"shared", "deadly", "request:" + std::to_string(i)}
+                       : request_traits{"shared", "request:" + std::to_string(i)};
+        informed.evidence.add_own(
+            relay::crash_record{"r" + std::to_string(i), informed.service, traits}, informed.now);
+        for (const relay::crash_record& each : informed.evidence.take_reports()) {
+            written.push_back(each);
+        }
+    }
+    BOOST_TEST(!written.empty());
+    evidence_fixture started;
+    for (const relay::crash_record& each : written) {
+        started.evidence.add(each, started.now);
+    }
+    BOOST_TEST(started.is_quarantined({"shared", "deadly", "request:9"}));
+    BOOST_TEST(!started.is_quarantined({"shared", "request:9"}));
+}
+
+BOOST_AUTO_TEST_CASE(a_record_is_written_again_if_no_other_says_that_its_trait_was_answered)
+{
+    evidence_fixture fixture;
+    for (int i = 0; i < 3; ++i) {
+        fixture.learn_of("t-" + std::to_string(i), {"part", "request:" + std::to_string(i)});
+    }
+    BOOST_TEST(fixture.is_quarantined({"part", "request:9"}));
+    BOOST_TEST(fixture.evidence.take_amendments().empty());
+    fixture.answer({"part"}, 3);
+    BOOST_TEST(!fixture.is_quarantined({"part", "request:9"}));
+    const auto amended = fixture.evidence.take_amendments();
+    BOOST_REQUIRE(amended.size() == 1U);
+    BOOST_TEST((amended.front().answered == request_traits{"part"}));
+    BOOST_TEST(fixture.evidence.take_amendments().empty());
+    // Another instance has written over it.
+    const relay::crash_record& first = amended.front();
+    fixture.evidence.add(
+        relay::crash_record{first.name, first.service, first.traits, first.incarnation},
+        fixture.now);
+    BOOST_TEST(fixture.evidence.take_amendments().size() == 1U);
 }
--- a/tests/relay/quarantine_test.cpp
+++ b/tests/relay/quarantine_test.cpp
@@ -44,6 +44,44 @@
     BOOST_TEST(attempts(fixture) == before + 1);
 }
 
+// Guards against refusals of sound requests by restarted instances, which know the crashes that
+// others have reported but have seen no answers themselves.
+BOOST_AUTO_TEST_CASE(a_restarted_instance_runs_requests_that_share_a_part_with_deadly_ones)
+{
+    relay_fixture fixture;
+    fixture.apply_configuration(2, relay::request_kind::streaming, "key-1", 5);
+    fixture.list_targets(9);
+    std::uint64_t caller = 0;
+    for (int i = 0; i < 20; ++i) {
+        fixture.submit_parts(++caller, {"shared"});
+        fixture.stream_to(1);
+        fixture.advance(400ms);
+        fixture.stream_to(2);
+    }
+    for (int i = 0; i < 4; ++i) {
+        // Sound streams that have just begun are lost beside the deadly request.
+        fixture.submit_parts(++caller, {"shared"});
+        fixture.crash_attempt();
+        fixture.submit_parts(++caller, {"shared", "deadly"});
+        if (fixture.open_requests() > 0) {
+            fixture.crash_attempt();
+        }
+    }
+    std::vector<relay::crash_record> written;
+    for (const auto& each : fixture.to_store) {
+        if (const auto* report = std::get_if<relay::report_crash>(each.get()); report != nullptr) {
+            written.push_back(report->crash);
+        }
+    }
+    BOOST_TEST(!written.empty());
+    relay_fixture restarted;
+    restarted.handle(relay::crashes_listed{written, {}});
+    restarted.submit_parts(++caller, {"shared"});
+    BOOST_TEST(attempts(restarted) == 1U);
+    restarted.submit_parts(++caller, {"shared", "deadly"});
+    BOOST_TEST(attempts(restarted) == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(crashes_that_other_instances_report_quarantine_a_request)
 {
     relay_fixture fixture;
--- a/tests/relay/test_fixture.hpp
+++ b/tests/relay/test_fixture.hpp
@@ -145,11 +145,15 @@
             25s, "key-1", 5000, 700, "part-" + number, std::nullopt, std::move(shared_parts)});
     }
 
-    /// Lets the target of the last attempt begin to answer and be lost at once.
+    /// Lets the target of the last attempt begin to answer and crash. A new incarnation starts at
+    /// once.
     void crash_attempt()
     {
         handle(relay::stream_begun{last_attempt().attempt, relay::answer_head{200, {}}});
+        const std::string name = last_attempt().target.str();
         lose_attempt();
+        handle(relay::targets_listed{
+            false, {target(std::stoi(name.substr(2)), false, ++last_start_ms_)}, {}});
     }
 
     /// @return the attempt that was opened last
@@ -208,6 +212,7 @@
 
   private:
     std::size_t answered_ = 0;
+    std::uint64_t last_start_ms_ = 1000;
     int entry_reports_due_ = 0;
 
     void answer_load_queries()
