relay: answers clear a request's fingerprint as they clear its parts

Cause: only the shared prompt parts of an answered request were counted; the fingerprint, also a trait of crash_evidence, was never cleared.

Evidence: on the code of the sequence of requests_with_equal_content_that_are_answered_outlive_ordinary_crashes opens 25 attempts, 26 expected.

--- a/src/relay/relay_manager_crashes.cpp
+++ b/src/relay/relay_manager_crashes.cpp
@@ -78,8 +78,7 @@
 
 void relay_manager::on_survived(const request_plan& plan)
 {
-    const std::vector<std::string>& parts = plan.submitted.shared_parts;
-    crashes_.add_answered(plan.service, request_traits{parts.begin(), parts.end()});
+    crashes_.add_answered(plan.service, plan.traits);
 }
 
 void relay_manager::report_crashes()
--- a/tests/relay/crash_evidence_test.cpp
+++ b/tests/relay/crash_evidence_test.cpp
@@ -236,3 +236,18 @@
         fixture.now);
     BOOST_TEST(fixture.evidence.take_amendments().size() == 1U);
 }
+
+// Guards against refusals of requests with equal content after ordinary crashes.
+BOOST_AUTO_TEST_CASE(a_fingerprint_with_which_requests_are_answered_is_cleared)
+{
+    evidence_fixture fixture;
+    const request_traits traits{"request:1"};
+    fixture.answer(traits, 5);
+    for (int i = 0; i < 5; ++i) {
+        fixture.crash(traits);
+    }
+    BOOST_TEST(!fixture.is_quarantined(traits));
+    // A request that crashes targets more often than it is answered.
+    fixture.crash(traits);
+    BOOST_TEST(fixture.is_quarantined(traits));
+}
--- a/tests/relay/quarantine_test.cpp
+++ b/tests/relay/quarantine_test.cpp
@@ -82,6 +82,27 @@
     BOOST_TEST(attempts(restarted) == 1U);
 }
 
+// Guards against refusals of requests with equal content after ordinary crashes.
+BOOST_AUTO_TEST_CASE(requests_with_equal_content_that_are_answered_outlive_ordinary_crashes)
+{
+    relay_fixture fixture;
+    fixture.list_targets(9);
+    std::uint64_t caller = 0;
+    for (int i = 0; i < 20; ++i) {
+        fixture.submit_content(++caller, "body");
+        fixture.stream_to(1);
+        fixture.advance(400ms);
+        fixture.stream_to(2);
+    }
+    for (int i = 0; i < 4; ++i) {
+        fixture.submit_content(++caller, "body");
+        fixture.crash_attempt();
+    }
+    const std::size_t before = attempts(fixture);
+    fixture.submit_content(++caller, "body");
+    BOOST_TEST(attempts(fixture) == before + 1);
+}
+
 BOOST_AUTO_TEST_CASE(crashes_that_other_instances_report_quarantine_a_request)
 {
     relay_fixture fixture;
--- a/tests/relay/test_fixture.hpp
+++ b/tests/relay/test_fixture.hpp
@@ -134,6 +134,17 @@
             25s, key, 5000, 700, "part-" + std::to_string(caller), std::nullopt});
     }
 
+    /// Submits a request with a body of its own.
+    void submit_content(std::uint64_t caller, const std::string& body)
+    {
+        const std::string number = std::to_string(caller);
+        handle(
+            relay::submission{relay::caller_id{caller},
+                              std::make_shared<const relay::opaque_request>(relay::opaque_request{
+                                  "id-" + number, "POST", "/p/x", "host", {}, body}),
+                              25s, "key-1", 5000, 700, "part-" + number, std::nullopt});
+    }
+
     /// Submits a request whose prompt has parts that other requests may share.
     void submit_parts(std::uint64_t caller, std::vector<std::string> shared_parts)
     {
