generation: a finished request is cleared of earlier losses

Callers of the own front saw: a request that targets had finished again and again was quarantined for ten minutes after two losses before a first token (or four at all) within ten minutes.

Evidence: a_finished_request_is_cleared_of_earlier_losses fails without the call of on_finished().

Why it works: a request that a target has finished doesn't crash each target that runs it, so its former losses had another cause.

--- a/src/generation/generation_manager.cpp
+++ b/src/generation/generation_manager.cpp
@@ -185,6 +185,8 @@
 {
     chooser_.on_finished(target, now_);
     suspect_targets_.erase(id);
+    const generation_plan& plan = generations_.at(id)->plan();
+    poison_.on_finished(fingerprint_of(plan.account, plan.prompt));
     outcomes_.on_finished(id, now_);
     if (checkpoints_ != nullptr) {
         checkpoints_->finish(id);
--- a/src/generation/poison_detector.cpp
+++ b/src/generation/poison_detector.cpp
@@ -32,6 +32,12 @@
     }
 }
 
+void poison_detector::on_finished(fingerprint request)
+{
+    suspects_.erase(request);
+    pending_.erase(request);
+}
+
 std::vector<fingerprint> poison_detector::confirm_quarantines(core::instant now)
 {
     std::vector<fingerprint> found;
--- a/src/generation/poison_detector.hpp
+++ b/src/generation/poison_detector.hpp
@@ -53,6 +53,9 @@
     void on_crash(fingerprint request, const core::account_name& account,
                   const core::target_name& target, bool had_no_token, core::instant now);
 
+    /// Records that a target has finished a request, which clears it of earlier crashes.
+    void on_finished(fingerprint request);
+
     /// Quarantines the pending requests whose `mass_loss_window` has passed without a mass loss,
     /// which would have excused them.
     /// @return the requests that are newly quarantined
--- a/tests/generation/poison_test.cpp
+++ b/tests/generation/poison_test.cpp
@@ -104,6 +104,20 @@
     BOOST_TEST(output.opened.size() == 3U);
 }
 
+// Guards against the quarantine of a request that targets have finished between two losses.
+BOOST_FIXTURE_TEST_CASE(a_finished_request_is_cleared_of_earlier_losses, fixture)
+{
+    for (std::uint64_t caller = 1; caller <= 4; ++caller) {
+        request(caller, "sound");
+        const std::size_t lost = output.opened.size() - 1;
+        crash(lost);
+        BOOST_REQUIRE(output.opened.size() == lost + 2);
+        manager.on_engine_event(api::attempt_finished{output.opened.back().attempt}, clock.now());
+    }
+    BOOST_TEST(announced.empty());
+    BOOST_TEST(output.failures.empty());
+}
+
 BOOST_FIXTURE_TEST_CASE(a_quarantine_notice_of_another_instance_is_applied, fixture)
 {
     request(1, "poison");
