relay: a lost attempt is judged by what is found at its target

Cause: only a loss after the head of an answer was a suspected crash, since a loss without one has harmless causes as well.

Evidence: the record shows may_have_crashed=false at each crash and no row in the table crashes.

Why it works: the target itself is asked, once for all attempts that it lost together. A refused connection or another incarnation there means a crash, whatever had arrived; the same incarnation means that it runs on, which now also clears losses after the head. Targets that leave tell nothing. A request is checked for quarantine again when its next engine is chosen.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -34,6 +34,12 @@
     return core::make_error(core::error_kind::unavailable, problem, "try another target");
 }
 
+/// The error of a server that nobody listens for.
+absl::Status refused_error()
+{
+    return core::make_error(core::error_kind::not_found, "not connected", "try another target");
+}
+
 } // namespace
 
 /// Owns the connections of a client.
@@ -112,7 +118,7 @@
                 return;
             }
             owner.end(id, connected,
-                      connection_error(connected ? "connection reset" : "not connected"));
+                      connected ? connection_error("connection reset") : refused_error());
         }
     };
 
--- a/src/http/client.hpp
+++ b/src/http/client.hpp
@@ -27,7 +27,8 @@
     /// The exchange has ended; no further callbacks follow for it.
     /// @param exchange the exchange
     /// @param sent false only if no byte of the request was sent
-    /// @param status OK only if the complete response was received
+    /// @param status OK only if the complete response was received; not_found if the connection was
+    ///        refused
     virtual void on_end(exchange_id exchange, bool sent, const absl::Status& status) = 0;
 };
 
--- a/src/relay/messages.hpp
+++ b/src/relay/messages.hpp
@@ -18,6 +18,7 @@
 #include "relay/run_copy.hpp"
 #include "relay/store_messages.hpp"
 #include "relay/target.hpp"
+#include "relay/target_contact.hpp"
 
 /// @file
 /// Messages between the tasks of an instance that relays opaque requests.
@@ -254,6 +255,15 @@
     auto operator<=>(const identify_target&) const = default;
 };
 
+/// Checks whether a target that lost an attempt still runs.
+struct check_target {
+    const target_record target;
+    /// Path of its health check, empty for an engine, which reports its incarnation as well.
+    const std::string health_path;
+
+    auto operator<=>(const check_target&) const = default;
+};
+
 /// Checks whether another instance is alive.
 struct ask_instance {
     const core::instance_name name;
@@ -362,6 +372,14 @@
     auto operator<=>(const target_identified&) const = default;
 };
 
+/// Result of check_target.
+struct target_checked {
+    const target_record target;
+    const target_contact contact;
+
+    auto operator<=>(const target_checked&) const = default;
+};
+
 /// Result of ask_instance.
 struct instance_answered {
     const core::instance_name name;
@@ -379,10 +397,10 @@
 using relay_message =
     std::variant<submission, caller_gone, entry_state, metrics_query, stream_begun, stream_events,
                  stream_finished, attempt_answered, attempt_rejected, attempt_lost, run_copied,
-                 target_notice, target_answered, target_identified, instance_answered,
-                 configuration_read, configuration_confirmed, targets_listed, members_listed,
-                 crashes_listed, rollouts_listed, rollout_reports_listed, members_restored,
-                 crashes_restored, stop_requested>;
+                 target_notice, target_answered, target_identified, target_checked,
+                 instance_answered, configuration_read, configuration_confirmed, targets_listed,
+                 members_listed, crashes_listed, rollouts_listed, rollout_reports_listed,
+                 members_restored, crashes_restored, stop_requested>;
 
 /// Messages to the entry task.
 using entry_command =
@@ -391,7 +409,7 @@
 
 /// Messages to the target task.
 using target_command = std::variant<open_attempt, close_attempt, copy_run, free_copy, ask_target,
-                                    identify_target, ask_instance>;
+                                    identify_target, check_target, ask_instance>;
 
 /// Messages to the store task.
 using store_command = std::variant<announce_member, withdraw_member, report_crash, withdraw_crash,
--- a/src/relay/relay_manager.hpp
+++ b/src/relay/relay_manager.hpp
@@ -8,6 +8,7 @@
 #include "core/cell.hpp"
 #include "limits/engine_admission.hpp"
 #include "relay/answer_baseline.hpp"
+#include "relay/crash_review.hpp"
 #include "relay/entry_lifecycle.hpp"
 #include "relay/messages.hpp"
 #include "relay/relay_charts.hpp"
@@ -80,6 +81,7 @@
     route_table_ptr table_;
     std::optional<core::cell<configuration_confirmed>> confirmation_;
     member_registry members_;
+    crash_review crash_review_;
     crash_evidence crashes_;
     /// Rollouts that the operator has ordered, by service, and what the store has of them.
     std::map<core::service_name, std::unique_ptr<version_rollout>> rollouts_;
@@ -124,6 +126,7 @@
     /// Notifies requests of targets that are gone or leaving, since standby copies there are lost.
     void report_ending_targets();
     void on(const target_identified& report);
+    void on(const target_checked& report);
     /// Forwards a report about an attempt to its request, unless the attempt is out of date.
     template <class Report>
     void on(const Report& report);
@@ -180,8 +183,8 @@
     void on_attempt_outcome(const request_plan& plan, const target_record& target,
                             core::duration waited, bool failed) override;
     [[nodiscard]] std::optional<core::duration> quarantine_of(const request_plan& plan) override;
-    void on_crash(const request_plan& plan, core::attempt_number attempt,
-                  const target_record& target) override;
+    void on_suspicious_loss(const request_plan& plan, core::attempt_number attempt,
+                            const target_record& target, attempt_stage stage) override;
     void on_survived(const request_plan& plan) override;
     void on_loss(const core::target_name& target) override;
     void on_success(const core::target_name& target) override;
--- a/src/relay/relay_manager_crashes.cpp
+++ b/src/relay/relay_manager_crashes.cpp
@@ -65,14 +65,45 @@
     return crashes_.quarantine_of(plan.service, plan.traits, now_);
 }
 
-void relay_manager::on_crash(const request_plan& plan, core::attempt_number attempt,
-                             const target_record& target)
+void relay_manager::on_suspicious_loss(const request_plan& plan, core::attempt_number attempt,
+                                       const target_record& target, attempt_stage stage)
 {
-    crashes_.add_own(
-        crash_record{core::concat(settings_.name.str(), "-",
-                                  core::hash_of(plan.submitted.content->id), "-", attempt.value()),
-                     plan.service, plan.traits, incarnation_name(target.name, target.started_at)},
-        now_);
+    // A target that leaves ends by itself, with the attempts that it has left.
+    const bool is_leaving = !targets_.is_serving(target, now_);
+    core::log_event(core::log_level::info, "crash_suspected",
+                    {{"request", plan.submitted.content->id},
+                     {"attempt", attempt.value()},
+                     {"target", target.name.str()},
+                     {"begun", stage == attempt_stage::begun},
+                     {"leaving", is_leaving}});
+    if (is_leaving) {
+        return;
+    }
+    const crash_record suspect{
+        core::concat(settings_.name.str(), "-", core::hash_of(plan.submitted.content->id), "-",
+                     attempt.value()),
+        plan.service, plan.traits, incarnation_name(target.name, target.started_at)};
+    if (crash_review_.add(target, suspect, stage)) {
+        const service_traits* service = table_->find_service(plan.service);
+        host_.send(check_target{target, service == nullptr || service->engine.has_value()
+                                            ? std::string{}
+                                            : service->health_path});
+    }
+}
+
+void relay_manager::on(const target_checked& report)
+{
+    const std::vector<crash_record> suspects =
+        crash_review_.on_checked(report.target, report.contact);
+    core::log_event(core::log_level::info, "target_checked",
+                    {{"target", report.target.name.str()},
+                     {"result", to_text(report.contact.result)},
+                     {"name", report.contact.name.str()},
+                     {"born_ms", report.contact.started_at.time_since_epoch().count()},
+                     {"suspects", suspects.size()}});
+    for (const crash_record& each : suspects) {
+        crashes_.add_own(each, now_);
+    }
     report_crashes();
 }
 
--- a/src/relay/relayed_request.cpp
+++ b/src/relay/relayed_request.cpp
@@ -110,8 +110,8 @@
     }
     loss_detail_ = loss.detail;
     now_ = now;
-    if (may_have_crashed_target()) {
-        host_.on_crash(plan_, attempt_, placed_->get().target);
+    if (const auto stage = suspicious_stage(); stage.has_value()) {
+        host_.on_suspicious_loss(plan_, attempt_, placed_->get().target, *stage);
     }
     raise(request_event::attempt_lost, now);
 }
--- a/src/relay/relayed_request.hpp
+++ b/src/relay/relayed_request.hpp
@@ -10,6 +10,7 @@
 #include "chart/timer_set.hpp"
 #include "core/cell.hpp"
 #include "limits/start_policy.hpp"
+#include "relay/crash_review.hpp"
 #include "relay/messages.hpp"
 #include "relay/placement.hpp"
 #include "relay/relay_settings.hpp"
@@ -117,9 +118,9 @@
 
     /// @return how long the request remains quarantined, empty if it may run
     [[nodiscard]] virtual std::optional<core::duration> quarantine_of(const request_plan& plan) = 0;
-    /// A target was lost right after it had begun to answer the request.
-    virtual void on_crash(const request_plan& plan, core::attempt_number attempt,
-                          const target_record& target) = 0;
+    /// An attempt was lost before or right after its target began to answer it.
+    virtual void on_suspicious_loss(const request_plan& plan, core::attempt_number attempt,
+                                    const target_record& target, attempt_stage stage) = 0;
     /// A target answered the request, completely or for a while, without a crash.
     virtual void on_survived(const request_plan& plan) = 0;
 
@@ -241,8 +242,9 @@
     void note_progress();
     void note_survived();
     void report_outcome(bool failed);
-    /// @return true if the current attempt was lost right after its target had begun to answer
-    [[nodiscard]] bool may_have_crashed_target() const;
+    /// @return how far the current attempt came that was lost, empty if the target can't have
+    ///         crashed because of it
+    [[nodiscard]] std::optional<attempt_stage> suspicious_stage() const;
     [[nodiscard]] bool is_quarantined() const;
     void refuse_quarantined();
     void refuse_held();
--- a/src/relay/relayed_request_outcome.cpp
+++ b/src/relay/relayed_request_outcome.cpp
@@ -44,10 +44,16 @@
     }
 }
 
-bool relayed_request::may_have_crashed_target() const
+std::optional<attempt_stage> relayed_request::suspicious_stage() const
 {
-    return !survived_ && begun_at_.has_value() && now_ - *begun_at_ < settings_.crash_window &&
-           !plan_.traits.empty();
+    if (survived_ || !attempt_sent_ || plan_.traits.empty()) {
+        return std::nullopt;
+    }
+    if (!begun_at_.has_value()) {
+        return attempt_stage::sent;
+    }
+    return now_ - *begun_at_ < settings_.crash_window ? std::optional{attempt_stage::begun}
+                                                      : std::nullopt;
 }
 
 bool relayed_request::is_quarantined() const
@@ -101,17 +107,18 @@
     if (has_copy) {
         copy_.emplace(*copy);
     }
-    core::log_event(core::log_level::info, event,
-                    {{"request", plan_.submitted.content->id},
-                     {"attempt", attempt_.value()},
-                     {"target", placed.target.name.str()},
-                     {"domain", placed.target.domain.str()},
-                     {"from_copy", placed.from_copy},
-                     {"copy_at", has_copy ? placed.standby->name.str() : "none"},
-                     {"last_event", last_event_.value_or("none")},
-                     {"after_ms", core::to_milliseconds(now_ - plan_.accepted)},
-                     {"may_have_crashed", may_have_crashed_target()},
-                     {"detail", loss_detail_}});
+    core::log_event(
+        core::log_level::info, event,
+        {{"request", plan_.submitted.content->id},
+         {"attempt", attempt_.value()},
+         {"target", placed.target.name.str()},
+         {"domain", placed.target.domain.str()},
+         {"from_copy", placed.from_copy},
+         {"copy_at", has_copy ? placed.standby->name.str() : "none"},
+         {"last_event", last_event_.value_or("none")},
+         {"after_ms", core::to_milliseconds(now_ - plan_.accepted)},
+         {"may_have_crashed", event == "attempt_lost" && suspicious_stage().has_value()},
+         {"detail", loss_detail_}});
 }
 
 void relayed_request::record_abandonment() const
--- a/src/relay/relayed_request_placement.cpp
+++ b/src/relay/relayed_request_placement.cpp
@@ -92,6 +92,11 @@
 
 void relayed_request::weigh_candidates()
 {
+    // The target of the last attempt may have been checked meanwhile.
+    if (is_quarantined()) {
+        follow_up_ = request_event::quarantine_found;
+        return;
+    }
     // A candidate may have left, or have asked for no requests, since it was asked for its load.
     const auto found = loads_.empty() ? std::nullopt : host_.place(make_query());
     if (!found.has_value()) {
--- a/src/relay/target_directory.hpp
+++ b/src/relay/target_directory.hpp
@@ -79,6 +79,9 @@
     [[nodiscard]] bool has_target(const core::service_name& service,
                                   const core::version_name& version) const;
 
+    /// @return true if that incarnation of a target is listed and not leaving
+    [[nodiscard]] bool is_serving(const target_record& target, core::instant now);
+
     /// @return the work that this instance has on a target; none if it is not listed
     [[nodiscard]] local_work work_on(const core::target_name& target) const;
 
--- a/src/relay/target_directory_notices.cpp
+++ b/src/relay/target_directory_notices.cpp
@@ -35,6 +35,13 @@
     }
 }
 
+bool target_directory::is_serving(const target_record& target, core::instant now)
+{
+    const known_target* known = find(target.name);
+    return known != nullptr && known->record.get().started_at == target.started_at &&
+           known->health->current_readiness(now) != routing::readiness::leaving;
+}
+
 void target_directory::note_left(const target_record& record)
 {
     constexpr std::size_t max_left = 1024;
--- a/src/standin/runner_task.cpp
+++ b/src/standin/runner_task.cpp
@@ -166,7 +166,9 @@
 void runner_task::crash(active_run& run)
 {
     report_event(runner_report::event::crashed, run);
-    server_->send(run.exchange, "id: ", false);
+    if (run.head_sent) {
+        server_->send(run.exchange, "id: ", false);
+    }
     loop().cancel(restart_timer_);
     restart_timer_ = loop().run_after(core::duration::zero(), [this] {
         end_incarnation();
@@ -287,6 +289,11 @@
                          ? 1
                          : to_number(request.find_header("last-event-id")) + 1;
     report_event(runner_report::event::began, run);
+    if (!settings_.deadly_body.empty() &&
+        request.body.find(settings_.deadly_body) != std::string::npos) {
+        crash(run);
+        return;
+    }
     const bool streams = !request.find_header("x-cyclamencourse-token-counts").empty();
     run.timer = loop().run_after(settings_.work_time, [this, &run, streams] {
         if (streams) {
--- a/src/standin/runner_task.hpp
+++ b/src/standin/runner_task.hpp
@@ -36,6 +36,8 @@
     const std::uint64_t stream_events = 60;
     /// Prompt part that makes the runner crash when it begins to answer; empty for none.
     const std::string deadly_part = {};
+    /// Text in a request's body that makes the runner crash before it answers; empty for none.
+    const std::string deadly_body = {};
     /// Time from a crash to the next incarnation.
     const core::duration restart_time = std::chrono::milliseconds{300};
     /// Time between two copies of a run to its standby.
--- a/tests/platform/instance_test.cpp
+++ b/tests/platform/instance_test.cpp
@@ -103,7 +103,8 @@
     /// @param shared_parts prompt parts before the request's own one, each followed by a comma
     /// @return the answer; status 0 if the connection was closed without one
     http::request_result send(const std::string& id, const std::string& path, bool streams,
-                              const std::string& shared_parts = "")
+                              const std::string& shared_parts = "",
+                              const std::string& body = "body")
     {
         std::vector<http::header> headers{{"host", "test.example"},
                                           {"x-cyclamencourse-request-id", id},
@@ -113,7 +114,7 @@
             headers.push_back(
                 {"x-cyclamencourse-prompt-prefix", shared_parts + "part-" + id + ":100"});
         }
-        const auto result = http::fetch(entry_, http::request{"POST", path, headers, "body"}, 10s);
+        const auto result = http::fetch(entry_, http::request{"POST", path, headers, body}, 10s);
         return result.ok() ? *result : http::request_result{{}, 0, "", "cut"};
     }
 
@@ -226,7 +227,8 @@
                                      .listed_address = listen,
                                      .service = service,
                                      .failure_domain = domain,
-                                     .deadly_part = "deadly"},
+                                     .deadly_part = "deadly",
+                                     .deadly_body = "fatal"},
             nullptr, store_.inbox());
         BOOST_REQUIRE(runner->start().ok());
         runners_.emplace(name, std::move(runner));
@@ -365,6 +367,24 @@
     BOOST_TEST(sound.body.find("id: 60\n") != std::string::npos);
 }
 
+// Guards against a request that ends engine after engine before one of them has answered.
+BOOST_AUTO_TEST_CASE(a_request_that_crashes_engines_before_they_answer_is_refused)
+{
+    captured_log log;
+    platform_fixture fixture;
+    constexpr int status_unavailable = 503;
+    int status = 0;
+    for (int i = 0; i < 4; ++i) {
+        status = fixture.send("bad-" + std::to_string(i), "/s/x", true, "", "fatal").status;
+        // Until the engines are back.
+        std::this_thread::sleep_for(700ms);
+    }
+    BOOST_TEST(status == status_unavailable);
+    BOOST_TEST(log.count("event=attempt_lost") <= 4U);
+    const auto sound = fixture.send("good-1", "/s/x", true);
+    BOOST_TEST(sound.body.find("id: 60\n") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(a_runner_that_asks_for_no_requests_gets_none_until_that_time_is_over)
 {
     captured_log log;
--- a/tests/relay/quarantine_test.cpp
+++ b/tests/relay/quarantine_test.cpp
@@ -103,6 +103,60 @@
     BOOST_TEST(attempts(fixture) == before + 1);
 }
 
+// Guards against a request that ends engine after engine before one of them has answered.
+BOOST_AUTO_TEST_CASE(a_request_that_crashes_targets_before_they_answer_is_quarantined)
+{
+    relay_fixture fixture;
+    fixture.apply_configuration(2, relay::request_kind::streaming, "key-1", 5);
+    fixture.list_targets(9);
+    for (std::uint64_t caller = 1; caller <= 8; ++caller) {
+        fixture.submit_content(caller, "deadly");
+        for (int i = 0; i < 5 && fixture.open_requests() > 0; ++i) {
+            fixture.crash_attempt(false);
+            fixture.advance(100ms);
+        }
+        fixture.advance(3s);
+    }
+    BOOST_TEST(attempts(fixture) == 3U);
+    BOOST_TEST((last_refusal(fixture).kind == core::error_kind::quarantined));
+    BOOST_TEST(last_refusal(fixture).not_run);
+    fixture.submit_content(9, "sound");
+    BOOST_TEST(attempts(fixture) == 4U);
+}
+
+// Guards against refusals of requests whose connections were lost while the targets ran on.
+BOOST_AUTO_TEST_CASE(a_loss_at_a_target_that_runs_on_is_no_evidence)
+{
+    relay_fixture fixture;
+    fixture.list_targets(9);
+    for (std::uint64_t caller = 1; caller <= 9; ++caller) {
+        fixture.submit_content(caller, "sound");
+        const std::size_t before = attempts(fixture);
+        // Every other loss comes after the head of the answer.
+        if (caller % 2 == 0) {
+            fixture.handle(
+                relay::stream_begun{fixture.last_attempt().attempt, relay::answer_head{200, {}}});
+        }
+        fixture.lose_attempt();
+        BOOST_TEST(attempts(fixture) == before + 1);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(a_loss_at_a_leaving_target_is_no_evidence)
+{
+    relay_fixture fixture;
+    for (std::uint64_t caller = 1; caller <= 6; ++caller) {
+        fixture.list_targets(3);
+        fixture.submit_content(caller, "sound");
+        fixture.list_targets(3, true);
+        fixture.ended_targets = {"t-0", "t-1", "t-2"};
+        fixture.lose_attempt();
+        fixture.ended_targets.clear();
+        fixture.handle(relay::targets_listed{true, {}, {}});
+    }
+    BOOST_TEST(attempts(fixture) == 6U);
+}
+
 BOOST_AUTO_TEST_CASE(crashes_that_other_instances_report_quarantine_a_request)
 {
     relay_fixture fixture;
--- a/tests/relay/test_fixture.hpp
+++ b/tests/relay/test_fixture.hpp
@@ -156,13 +156,17 @@
             25s, "key-1", 5000, 700, "part-" + number, std::nullopt, std::move(shared_parts)});
     }
 
-    /// Lets the target of the last attempt begin to answer and crash. A new incarnation starts at
-    /// once.
-    void crash_attempt()
+    /// Lets the target of the last attempt crash. A new incarnation starts at once.
+    /// @param begun whether the target has begun to answer
+    void crash_attempt(bool begun = true)
     {
-        handle(relay::stream_begun{last_attempt().attempt, relay::answer_head{200, {}}});
+        if (begun) {
+            handle(relay::stream_begun{last_attempt().attempt, relay::answer_head{200, {}}});
+        }
         const std::string name = last_attempt().target.str();
+        ended_targets.insert(name);
         lose_attempt();
+        ended_targets.erase(name);
         handle(relay::targets_listed{
             false, {target(std::stoi(name.substr(2)), false, ++last_start_ms_)}, {}});
     }
@@ -220,6 +224,8 @@
     bool targets_answer = true;
     std::set<std::string> unresponsive_targets;
     std::map<std::string, relay::reported_load> loads;
+    /// Targets whose address refuses connections.
+    std::set<std::string> ended_targets;
 
   private:
     std::size_t answered_ = 0;
@@ -232,8 +238,17 @@
             manager_.handle(relay::entry_state{entry_busy}, clock_.now());
         }
         while (targets_answer && answered_ < to_targets.size()) {
+            const auto* checked = std::get_if<relay::check_target>(to_targets[answered_].get());
             const auto* asked = std::get_if<relay::ask_target>(to_targets[answered_].get());
             ++answered_;
+            if (checked != nullptr) {
+                const bool ended = ended_targets.contains(checked->target.name.str());
+                manager_.handle(relay::target_checked{checked->target,
+                                                      relay::target_contact{
+                                                          ended ? relay::contact_result::refused
+                                                                : relay::contact_result::answered}},
+                                clock_.now());
+            }
             if (asked != nullptr && !unresponsive_targets.contains(asked->target.str())) {
                 const auto load = loads.find(asked->target.str());
                 manager_.handle(
