--- a/src/relay/relayed_request_outcome.cpp
+++ b/src/relay/relayed_request_outcome.cpp
@@ -118,6 +118,7 @@
          {"last_event", last_event_.value_or("none")},
          {"after_ms", core::to_milliseconds(now_ - plan_.accepted)},
          {"may_have_crashed", event == "attempt_lost" && suspicious_stage().has_value()},
+         {"answer_begun", begun_at_.has_value()},
          {"detail", loss_detail_}});
 }
 
