relay: requests that crash plain runners are quarantined

Cause: requests of plain services had no traits, so nothing could be said of them. And a single crash was told to nobody: such a request comes to another instance each time, so that a fleet of twelve would have needed thirteen crashes before the first record.

Why it works: every request has traits, a crash with an uncleared trait is reported at once, in one transaction for a burst, and answers clear requests with equal content.

The bound on records is 512, since single crashes are records too; those without a trait in common go first.

--- a/src/relay/crash_evidence.cpp
+++ b/src/relay/crash_evidence.cpp
@@ -48,7 +48,7 @@
         return;
     }
     if (records_.size() >= settings_.max_records) {
-        drop_oldest_record();
+        drop_record();
     }
     records_.emplace(crash.name, known_crash{crash, now, false, true, crash.answered, {}});
 }
@@ -75,13 +75,20 @@
                         known.record.incarnation, known.answered};
 }
 
-void crash_evidence::drop_oldest_record()
+void crash_evidence::drop_record()
 {
-    const auto oldest =
-        std::min_element(records_.begin(), records_.end(), [](const auto& left, const auto& right) {
-            return left.second.heard_at < right.second.heard_at;
-        });
-    records_.erase(oldest);
+    const auto order = [this](const known_crash& known) {
+        const crash_record& record = known.record;
+        const bool shares_trait =
+            std::any_of(record.traits.begin(), record.traits.end(), [&](const auto& trait) {
+                return count_of(crashes_, record.service, trait) > 1;
+            });
+        return std::pair{shares_trait, known.heard_at};
+    };
+    records_.erase(std::min_element(records_.begin(), records_.end(),
+                                    [&](const auto& left, const auto& right) {
+                                        return order(left.second) < order(right.second);
+                                    }));
 }
 
 answered_traits& crash_evidence::counter_of(const std::string& trait)
@@ -182,11 +189,7 @@
     update();
     for (auto& [name, known] : records_) {
         const crash_record& record = known.record;
-        const bool is_due =
-            known.own && !known.reported &&
-            std::any_of(record.traits.begin(), record.traits.end(), [&](const auto& trait) {
-                return count_of(crashes_, record.service, trait) >= settings_.report_threshold;
-            });
+        const bool is_due = known.own && !known.reported && !accused_traits(record).empty();
         if (!is_due) {
             continue;
         }
--- a/src/relay/crash_evidence.hpp
+++ b/src/relay/crash_evidence.hpp
@@ -37,14 +37,12 @@
 struct crash_evidence_settings {
     /// Crashes after which requests with a common trait are quarantined.
     const std::size_t quarantine_threshold = 3;
-    /// Crashes after which a record is worth telling other instances.
-    const std::size_t report_threshold = 2;
     /// Answers that clear a trait, unless this instance has seen more crashes with it.
     const std::size_t clearing_answers = 3;
     /// How long a record counts.
     const core::duration window = std::chrono::minutes{5};
-    /// Maximum number of records; the oldest are dropped first.
-    const std::size_t max_records = 256;
+    /// Maximum number of records; the oldest without traits in common are dropped first.
+    const std::size_t max_records = 512;
     /// Maximum number of prompt parts, and of fingerprints, in a generation of answered_traits.
     const std::size_t counted_parts = 4096;
     const std::size_t counted_fingerprints = 1024;
@@ -128,7 +126,8 @@
     std::map<core::service_name, request_traits> marked_;
     bool outdated_ = false;
 
-    void drop_oldest_record();
+    /// Drops the oldest record whose traits occur in no other crash, or else the oldest.
+    void drop_record();
     /// Finds the deadly sets anew if anything has changed.
     void update();
     void index_records();
--- a/src/relay/relay_manager.cpp
+++ b/src/relay/relay_manager.cpp
@@ -126,7 +126,7 @@
                       has_engine ? traits->engine : std::nullopt,
                       account,
                       now_,
-                      has_engine ? traits_of(submitted, account) : request_traits{}};
+                      traits_of(submitted, account)};
     if (const auto quarantine = quarantine_of(plan); quarantine.has_value()) {
         refuse(submitted, core::error_kind::quarantined, quarantine_problem, *quarantine);
         return;
--- a/src/relay/relay_manager.hpp
+++ b/src/relay/relay_manager.hpp
@@ -134,7 +134,7 @@
     /// Refuses a request that no target has received.
     void refuse(const submission& refused, core::error_kind kind, std::string_view problem,
                 core::duration retry_after);
-    /// @return what may make an engine crash on the request
+    /// @return what may make a target crash on the request
     [[nodiscard]] static request_traits traits_of(const submission& submitted,
                                                   const core::account_name& account);
     void report_crashes();
--- a/src/relay/relay_manager_crashes.cpp
+++ b/src/relay/relay_manager_crashes.cpp
@@ -69,14 +69,7 @@
                                        const target_record& target, attempt_stage stage)
 {
     // A target that leaves ends by itself, with the attempts that it has left.
-    const bool is_leaving = !targets_.is_serving(target, now_);
-    core::log_event(core::log_level::info, "crash_suspected",
-                    {{"request", plan.submitted.content->id},
-                     {"attempt", attempt.value()},
-                     {"target", target.name.str()},
-                     {"begun", stage == attempt_stage::begun},
-                     {"leaving", is_leaving}});
-    if (is_leaving) {
+    if (!targets_.is_serving(target, now_)) {
         return;
     }
     const crash_record suspect{
--- a/src/relay/relayed_request.hpp
+++ b/src/relay/relayed_request.hpp
@@ -28,7 +28,7 @@
     const std::optional<engine_traits> engine;
     const core::account_name account;
     const core::instant accepted;
-    /// What may make an engine crash; empty for plain services.
+    /// What may make a target crash.
     const request_traits traits;
 
     bool operator==(const request_plan&) const = default;
@@ -36,7 +36,7 @@
 
 /// Why a quarantined request is refused.
 inline constexpr std::string_view quarantine_problem =
-    "requests with these prompt parts crash the targets that run them";
+    "requests with this content or these prompt parts crash the targets that run them";
 
 /// Callbacks of relayed_request, implemented by its owner. Called on the decision task.
 class request_host {
--- a/tests/platform/instance_test.cpp
+++ b/tests/platform/instance_test.cpp
@@ -385,6 +385,24 @@
     BOOST_TEST(sound.body.find("id: 60\n") != std::string::npos);
 }
 
+// Guards against a request that ends a plain runner each time it comes.
+BOOST_AUTO_TEST_CASE(a_request_that_crashes_plain_runners_is_refused)
+{
+    captured_log log;
+    platform_fixture fixture;
+    constexpr int status_unavailable = 503;
+    constexpr int status_ok = 200;
+    int status = 0;
+    for (int i = 0; i < 5; ++i) {
+        status = fixture.send("bad-" + std::to_string(i), "/u/x", false, "", "fatal").status;
+        // Until the runner is back.
+        std::this_thread::sleep_for(700ms);
+    }
+    BOOST_TEST(status == status_unavailable);
+    BOOST_TEST(log.count("event=attempt_lost") == 3U);
+    BOOST_TEST(fixture.send("good-1", "/u/x", false).status == status_ok);
+}
+
 BOOST_AUTO_TEST_CASE(a_runner_that_asks_for_no_requests_gets_none_until_that_time_is_over)
 {
     captured_log log;
