relay: what many suspects of a crash share doesn't clear its cause

Cause: of the suspects of a crash those with the traits of the most crashes remained, and a popular trait is in all crashes.

Why it works: above the threshold the number of crashes says nothing more; then crashes for each suspect count, and a cause is in one suspect a crash.

--- a/src/relay/deadly_traits.cpp
+++ b/src/relay/deadly_traits.cpp
@@ -31,25 +31,41 @@
     return crashes.size();
 }
 
-/// Number of crashes of each of a suspect's traits, the highest first.
-using suspicion = std::vector<std::size_t>;
+/// How much speaks for a trait as the cause of crashes, in the order of comparison.
+struct trait_weight {
+    /// Number of its crashes, up to the threshold.
+    std::size_t counted_crashes;
+    /// Crashes for each suspect that has the trait: one that many sound requests have as well is
+    /// seen several times a crash.
+    double crashes_per_suspect;
+    std::size_t crashes;
+
+    auto operator<=>(const trait_weight&) const = default;
+};
+
+/// Weights of a suspect's traits, the highest first.
+using suspicion = std::vector<trait_weight>;
 
 /// @return the suspects that remain of each crash
-suspect_list most_suspected(const std::vector<crash_suspect>& suspects)
+suspect_list most_suspected(const std::vector<crash_suspect>& suspects, std::size_t threshold)
 {
     suspect_list all;
     for (const crash_suspect& each : suspects) {
         all.push_back(&each);
     }
-    std::map<std::string, std::size_t> crashes;
+    std::map<std::string, trait_weight> weights;
     for (const auto& [trait, holders] : index_by_trait(all)) {
-        crashes.emplace(trait, count_crashes(holders));
+        const std::size_t crashes = count_crashes(holders);
+        weights.emplace(
+            trait, trait_weight{std::min(crashes, threshold),
+                                static_cast<double>(crashes) / static_cast<double>(holders.size()),
+                                crashes});
     }
     std::map<std::string, std::pair<suspicion, suspect_list>> by_crash;
     for (const crash_suspect* each : all) {
         suspicion found;
         for (const std::string& trait : each->traits) {
-            found.push_back(crashes.at(trait));
+            found.push_back(weights.at(trait));
         }
         std::sort(found.begin(), found.end(), std::greater<>{});
         auto& [highest, remaining] = by_crash[each->crash];
@@ -84,7 +100,7 @@
                                          std::size_t threshold)
 {
     std::map<request_traits, core::instant> found;
-    for (const auto& [trait, holders] : index_by_trait(most_suspected(suspects))) {
+    for (const auto& [trait, holders] : index_by_trait(most_suspected(suspects, threshold))) {
         if (count_crashes(holders) < threshold) {
             continue;
         }
--- a/src/relay/deadly_traits.hpp
+++ b/src/relay/deadly_traits.hpp
@@ -34,7 +34,8 @@
 };
 
 /// Finds the traits that crashes have in common. A crash has one cause: of the requests that were
-/// in progress on the target, those whose traits occur in more crashes clear the others.
+/// in progress on the target, those whose traits speak more for it clear the others: traits of more
+/// crashes, up to the threshold, then those of fewer suspects in each of them.
 ///
 /// @param suspects the requests of all crashes, of one service
 /// @param threshold number of crashes with a common trait from which on that trait is deadly
--- a/tests/relay/deadly_traits_test.cpp
+++ b/tests/relay/deadly_traits_test.cpp
@@ -48,6 +48,22 @@
     BOOST_TEST((sets_of(suspects) == std::vector{request_traits{"deadly"}}));
 }
 
+// Guards against the suspicion of what most requests share, whatever crashes targets.
+BOOST_AUTO_TEST_CASE(a_trait_of_many_suspects_in_each_crash_is_cleared_by_a_rare_one)
+{
+    std::vector<crash_suspect> suspects;
+    for (int i = 0; i < 6; ++i) {
+        const std::string crash = "t-" + std::to_string(i);
+        suspects.push_back(crash_suspect{crash, {i < 3 ? "deadly-1" : "deadly-2"}, {}});
+        for (int beside = 0; beside < 3; ++beside) {
+            suspects.push_back(
+                crash_suspect{crash, {"popular", "own-" + std::to_string(10 * i + beside)}, {}});
+        }
+    }
+    BOOST_TEST(
+        (sets_of(suspects) == std::vector{request_traits{"deadly-1"}, request_traits{"deadly-2"}}));
+}
+
 BOOST_AUTO_TEST_CASE(crashes_without_suspects_in_common_have_no_deadly_set)
 {
     std::vector<crash_suspect> suspects;
