relay: quarantined requests run as rare trials

Callers saw: a sound request that was quarantined wrongly was refused until the records expired, five minutes after the last crash; a stream that had run for a while was cut if its traits were quarantined meanwhile.

Cause: what all instances refuse is never answered, so that nothing could clear it.

Why it works: the first instance of the list lets one such request run 10 s after the last crash, then after four times as long; answered trials follow each other at once, and three clear the traits everywhere. A deadly request gets three trials in five minutes, as many as the rule allows. A request that a target has run without a crash is exempt.

--- a/src/relay/crash_evidence.cpp
+++ b/src/relay/crash_evidence.cpp
@@ -1,6 +1,7 @@
 #include "relay/crash_evidence.hpp"
 
 #include <algorithm>
+#include <iterator>
 
 #include "core/log.hpp"
 #include "core/text.hpp"
@@ -104,6 +105,14 @@
             answers == std::max(settings_.clearing_answers, count_of(own_crashes_, service, trait));
         outdated_ = outdated_ || (clears && count_of(crashes_, service, trait) > 0);
     }
+    if (!trials_.empty()) {
+        // A trial that was answered is followed by the next one at once.
+        for (const deadly_set& each : sets_of(service, traits)) {
+            if (const auto found = trials_.find({service, each.traits}); found != trials_.end()) {
+                found->second.next = core::instant{};
+            }
+        }
+    }
 }
 
 std::size_t crash_evidence::count_of(const std::map<core::service_name, trait_crashes>& crashes,
@@ -233,26 +242,60 @@
     return records;
 }
 
+std::vector<deadly_set> crash_evidence::sets_of(const core::service_name& service,
+                                                const request_traits& traits)
+{
+    update();
+    std::vector<deadly_set> sets;
+    if (const auto found = deadly_.find(service); found != deadly_.end()) {
+        std::copy_if(found->second.begin(), found->second.end(), std::back_inserter(sets),
+                     [&](const deadly_set& each) {
+                         return std::includes(traits.begin(), traits.end(), each.traits.begin(),
+                                              each.traits.end());
+                     });
+    }
+    return sets;
+}
+
 std::optional<core::duration> crash_evidence::quarantine_of(const core::service_name& service,
                                                             const request_traits& traits,
                                                             core::instant now)
 {
-    update();
     std::optional<core::duration> longest;
-    const auto found = deadly_.find(service);
-    if (found == deadly_.end()) {
-        return longest;
-    }
-    for (const deadly_set& each : found->second) {
-        if (std::includes(traits.begin(), traits.end(), each.traits.begin(), each.traits.end())) {
-            const core::duration left =
-                std::max(each.last_crash + settings_.window - now, core::duration::zero());
-            longest = std::max(longest.value_or(left), left);
+    for (const deadly_set& each : sets_of(service, traits)) {
+        core::duration pause = settings_.trial_pause;
+        core::instant trial = each.last_crash + pause;
+        while (trial <= now) {
+            pause *= settings_.trial_backoff;
+            trial += pause;
         }
+        const core::instant end = std::min(trial, each.last_crash + settings_.window);
+        const core::duration left = std::max(end - now, core::duration::zero());
+        longest = std::max(longest.value_or(left), left);
     }
     return longest;
 }
 
+bool crash_evidence::admit_trial(const core::service_name& service, const request_traits& traits,
+                                 core::instant now)
+{
+    std::vector<trial_schedule*> schedules;
+    for (const deadly_set& each : sets_of(service, traits)) {
+        const auto [found, is_new] = trials_.try_emplace(
+            std::pair{service, each.traits},
+            trial_schedule{each.last_crash + settings_.trial_pause, settings_.trial_pause});
+        if (now < found->second.next) {
+            return false;
+        }
+        schedules.push_back(&found->second);
+    }
+    for (trial_schedule* each : schedules) {
+        each->pause *= settings_.trial_backoff;
+        each->next = now + each->pause;
+    }
+    return true;
+}
+
 std::vector<std::string> crash_evidence::take_expired(core::instant now)
 {
     std::vector<std::string> expired;
@@ -266,6 +309,9 @@
             ++each;
         }
     }
+    if (records_.empty()) {
+        trials_.clear();
+    }
     return expired;
 }
 
--- a/src/relay/crash_evidence.hpp
+++ b/src/relay/crash_evidence.hpp
@@ -6,6 +6,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "core/identifier.hpp"
@@ -18,6 +19,10 @@
 /// Beginning of the trait that is a request's fingerprint.
 inline constexpr std::string_view fingerprint_prefix = "request:";
 
+/// Why a quarantined request is refused.
+inline constexpr std::string_view quarantine_problem =
+    "requests with this content or these prompt parts crash the targets that run them";
+
 /// A request was in progress on a target that ended, and may be the cause.
 struct crash_record {
     /// Unique name of the record.
@@ -39,6 +44,10 @@
     const std::size_t quarantine_threshold = 3;
     /// Answers that clear a trait, unless this instance has seen more crashes with it.
     const std::size_t clearing_answers = 3;
+    /// Time after a crash, or after a trial, at which a quarantined request may run as a trial;
+    /// each pause is longer than the one before.
+    const core::duration trial_pause = std::chrono::seconds{10};
+    const int trial_backoff = 4;
     /// How long a record counts.
     const core::duration window = std::chrono::minutes{5};
     /// Maximum number of records; the oldest without traits in common are dropped first.
@@ -88,11 +97,18 @@
     /// @return the records that all instances were told of
     [[nodiscard]] std::vector<crash_record> reported() const;
 
-    /// @return how long requests with these traits remain quarantined, empty if they may run
+    /// @return time after which requests with these traits may run again, as a trial or since the
+    ///         records no longer count; empty if they may run now
     [[nodiscard]] std::optional<core::duration> quarantine_of(const core::service_name& service,
                                                               const request_traits& traits,
                                                               core::instant now);
 
+    /// Decides whether a quarantined request runs as a trial: if all requests with its traits are
+    /// refused, no answer can clear them. One instance of the fleet makes the trials.
+    /// @return true if it runs
+    [[nodiscard]] bool admit_trial(const core::service_name& service, const request_traits& traits,
+                                   core::instant now);
+
     /// Forgets the records that no longer count.
     /// @return their names
     std::vector<std::string> take_expired(core::instant now);
@@ -111,6 +127,11 @@
         /// Those of them that this instance has marked when it reported the crash.
         request_traits marked_here;
     };
+    /// Trials of a deadly set.
+    struct trial_schedule {
+        core::instant next;
+        core::duration pause;
+    };
     /// Crashes by trait.
     using trait_crashes = std::map<std::string, std::set<std::string>>;
 
@@ -125,6 +146,7 @@
     /// Traits that a record says were answered.
     std::map<core::service_name, request_traits> marked_;
     bool outdated_ = false;
+    std::map<std::pair<core::service_name, request_traits>, trial_schedule> trials_;
 
     /// Drops the oldest record whose traits occur in no other crash, or else the oldest.
     void drop_record();
@@ -140,6 +162,9 @@
              const core::service_name& service, const std::string& trait);
     /// @return true if this instance has seen requests with the trait answered often enough
     [[nodiscard]] bool is_cleared(const core::service_name& service, const std::string& trait);
+    /// @return the deadly sets that requests with these traits have
+    [[nodiscard]] std::vector<deadly_set> sets_of(const core::service_name& service,
+                                                  const request_traits& traits);
     [[nodiscard]] crash_record written_record(const known_crash& known) const;
 };
 
--- a/src/relay/relay_manager.cpp
+++ b/src/relay/relay_manager.cpp
@@ -119,18 +119,21 @@
     last_request_ = last_request_.next();
     const request_number number = last_request_;
     const bool has_engine = traits != nullptr && traits->engine.has_value();
-    request_plan plan{number,
-                      submitted,
-                      *matched_route,
-                      service,
-                      has_engine ? traits->engine : std::nullopt,
-                      account,
-                      now_,
-                      traits_of(submitted, account)};
-    if (const auto quarantine = quarantine_of(plan); quarantine.has_value()) {
+    const request_traits accused = traits_of(submitted, account);
+    const auto quarantine = crashes_.quarantine_of(service, accused, now_);
+    const bool is_trial =
+        quarantine.has_value() && is_first_member() && crashes_.admit_trial(service, accused, now_);
+    if (quarantine.has_value() && !is_trial) {
         refuse(submitted, core::error_kind::quarantined, quarantine_problem, *quarantine);
         return;
     }
+    if (is_trial) {
+        core::log_event(core::log_level::info, "quarantine_trial",
+                        {{"request", submitted.content->id}, {"service", service.str()}});
+    }
+    request_plan plan{
+        number,  submitted, *matched_route, service, has_engine ? traits->engine : std::nullopt,
+        account, now_,      accused,        is_trial};
     auto made =
         std::make_unique<relayed_request>(std::move(plan), settings_.requests, charts_.request,
                                           charts_.protection, static_cast<request_host&>(*this));
--- a/src/relay/relay_manager.hpp
+++ b/src/relay/relay_manager.hpp
@@ -140,6 +140,8 @@
     void report_crashes();
     void write_crashes(const std::vector<crash_record>& records);
     void withdraw_expired_crashes();
+    /// @return true if this instance is the one that does what only one of the fleet should do
+    [[nodiscard]] bool is_first_member() const;
     /// @return the instance that last confirmed the configuration, for the log
     [[nodiscard]] std::string confirming_source() const;
     /// @return time since the store last confirmed the configuration in ms, -1 if it never did
--- a/src/relay/relay_manager_crashes.cpp
+++ b/src/relay/relay_manager_crashes.cpp
@@ -35,8 +35,7 @@
     const bool writer_listed = std::any_of(
         members.begin(), members.end(), [&](const member& each) { return is_writer(each.name); });
     // One instance of the fleet stands in for those that have ended.
-    return is_writer(settings_.name) ||
-           (!writer_listed && !members.empty() && members.front().name == settings_.name);
+    return is_writer(settings_.name) || (!writer_listed && is_first_member());
 }
 
 void relay_manager::on(const crashes_restored& restored)
@@ -124,12 +123,16 @@
     }
 }
 
+bool relay_manager::is_first_member() const
+{
+    const std::vector<member> members = members_.members();
+    return !members.empty() && members.front().name == settings_.name;
+}
+
 void relay_manager::withdraw_expired_crashes()
 {
     const std::vector<std::string> expired = crashes_.take_expired(now_);
-    const std::vector<member> members = members_.members();
-    // One instance of the fleet removes the records of all.
-    if (!members.empty() && members.front().name == settings_.name) {
+    if (is_first_member()) {
         for (const std::string& each : expired) {
             host_.send(withdraw_crash{each});
         }
--- a/src/relay/relayed_request.hpp
+++ b/src/relay/relayed_request.hpp
@@ -30,14 +30,12 @@
     const core::instant accepted;
     /// What may make a target crash.
     const request_traits traits;
+    /// The request is quarantined and runs once, to find out whether its traits crash targets.
+    const bool is_trial = false;
 
     bool operator==(const request_plan&) const = default;
 };
 
-/// Why a quarantined request is refused.
-inline constexpr std::string_view quarantine_problem =
-    "requests with this content or these prompt parts crash the targets that run them";
-
 /// Callbacks of relayed_request, implemented by its owner. Called on the decision task.
 class request_host {
   public:
--- a/src/relay/relayed_request_outcome.cpp
+++ b/src/relay/relayed_request_outcome.cpp
@@ -58,7 +58,9 @@
 
 bool relayed_request::is_quarantined() const
 {
-    return host_.quarantine_of(plan_).has_value();
+    // A request that a target has run without a crash is none of those that crash each target.
+    const bool is_untried = plan_.is_trial && runs_ == 0;
+    return !survived_ && !is_untried && host_.quarantine_of(plan_).has_value();
 }
 
 void relayed_request::refuse_quarantined()
