http, platform: responses in progress share a bounded memory

Callers saw (report of other operators): a faulty runner sent bytes without end; the machine that had called it kept them all and ran out of memory, and the requests of other clients ended with it.

Cause here: each response was bounded, the process wasn't. As many faulty runners, or callers that don't read, as it takes add up to its memory, which is from 112 MB on; eight bodies of 16 MiB are more.

--- a/src/http/buffered_client.cpp
+++ b/src/http/buffered_client.cpp
@@ -4,15 +4,10 @@
 
 namespace cyclamen::http {
 
-namespace {
-
-/// Maximum size of a response body, which bounds the memory of an exchange.
-constexpr std::size_t max_response_bytes = 16 * 1024 * 1024;
-
-} // namespace
-
-buffered_client::buffered_client(task::event_loop& loop, const client_settings& connections)
-    : loop_{loop}, client_{loop, static_cast<client_listener&>(*this), connections}
+buffered_client::buffered_client(task::event_loop& loop, const client_settings& connections,
+                                 std::size_t max_response_bytes)
+    : loop_{loop}, max_response_bytes_{max_response_bytes},
+      client_{loop, static_cast<client_listener&>(*this), connections}
 {
 }
 
@@ -55,7 +50,7 @@
 {
     std::string& body = pending_.at(exchange)->body;
     body += bytes;
-    if (body.size() > max_response_bytes) {
+    if (body.size() > max_response_bytes_) {
         client_.cancel(exchange);
         on_end(exchange, true,
                core::make_error(core::error_kind::unavailable, "the response is too long",
--- a/src/http/buffered_client.hpp
+++ b/src/http/buffered_client.hpp
@@ -25,13 +25,17 @@
 /// task, on its thread.
 class buffered_client final : private client_listener {
   public:
+    static constexpr std::size_t default_max_response_bytes = 16 * 1024 * 1024;
+
     /// Called once per request: with the response, with deadline_exceeded if the time limit has
     /// passed, or with unavailable if the exchange failed or the response is too long.
     using callback = std::function<void(const absl::StatusOr<buffered_response>&)>;
 
     /// @param loop event loop of the owning task
     /// @param connections time limits of connections
-    buffered_client(task::event_loop& loop, const client_settings& connections);
+    /// @param max_response_bytes maximum size of a response body
+    buffered_client(task::event_loop& loop, const client_settings& connections,
+                    std::size_t max_response_bytes = default_max_response_bytes);
     ~buffered_client() override;
 
     /// Sends a request.
@@ -55,6 +59,7 @@
     };
 
     task::event_loop& loop_;
+    const std::size_t max_response_bytes_;
     client client_;
     std::map<exchange_id, std::unique_ptr<open_request>> pending_;
     exchange_id last_exchange_;
--- a/src/http/event_splitter.hpp
+++ b/src/http/event_splitter.hpp
@@ -21,6 +21,9 @@
     /// @return true if an incomplete event is buffered
     [[nodiscard]] bool has_partial() const { return !pending_.empty(); }
 
+    /// @return size of the incomplete event
+    [[nodiscard]] std::size_t partial_bytes() const { return pending_.size(); }
+
   private:
     static constexpr std::size_t max_event_bytes = 1024 * 1024;
 
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -29,6 +29,9 @@
 /// Maximum input buffered for further requests on a connection while a request is answered.
 constexpr std::size_t max_buffered_input_bytes = 64 * 1024;
 
+/// Unsent output of a connection from which on the output of all connections is added up.
+constexpr std::size_t long_output_bytes = 64 * 1024;
+
 using connection_number = core::number<struct connection_number_tag>;
 
 std::string encode_chunk(std::string_view bytes, bool last)
@@ -134,6 +137,11 @@
         }
         else if (found->stream.unsent() > settings_.get().max_unsent_bytes) {
             drop(*found, true);
+            return;
+        }
+        if (connection* sending = find(id);
+            sending != nullptr && sending->stream.unsent() >= long_output_bytes) {
+            limit_unsent_bytes();
         }
     }
 
@@ -148,7 +156,11 @@
             text += body;
         }
         found->stream.write(text);
+        const bool is_long = found->stream.unsent() >= long_output_bytes;
         finish(*found);
+        if (is_long) {
+            limit_unsent_bytes();
+        }
     }
 
     void abort(exchange_id id)
@@ -375,6 +387,28 @@
         }
     }
 
+    /// Closes the connections with the most unsent bytes until the rest is within the limit.
+    void limit_unsent_bytes()
+    {
+        std::size_t total = 0;
+        for (const auto& [number, each] : connections_) {
+            total += each->stream.unsent();
+        }
+        while (total > settings_.get().max_total_unsent_bytes) {
+            const auto largest = std::max_element(
+                connections_.begin(), connections_.end(), [](const auto& left, const auto& right) {
+                    return left.second->stream.unsent() < right.second->stream.unsent();
+                });
+            const std::size_t unsent = largest->second->stream.unsent();
+            core::log_event(core::log_level::warning, "response_unsent",
+                            {{"unsent_bytes", unsent},
+                             {"all_unsent_bytes", total},
+                             {"connections", connections_.size()}});
+            total -= unsent;
+            drop(*largest->second, true);
+        }
+    }
+
     void schedule_timeout_check()
     {
         timeout_check_ = loop_.run_after(timeout_check_interval, [this] { check_timeouts(); });
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -39,6 +39,9 @@
     const core::duration unacknowledged_timeout = std::chrono::seconds{30};
     /// Maximum unsent response bytes per connection; the connection is closed above this.
     const std::size_t max_unsent_bytes = 8 * 1024 * 1024;
+    /// Maximum unsent response bytes of all connections; the one with the most is closed above
+    /// this.
+    const std::size_t max_total_unsent_bytes = 64 * 1024 * 1024;
 
     auto operator<=>(const server_settings&) const = default;
 };
--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -318,6 +318,48 @@
     BOOST_TEST(::recv(kept.fd, &byte, 1, MSG_DONTWAIT) == 0);
 }
 
+// Guards against callers that don't read, whose unread answers add up in memory.
+BOOST_AUTO_TEST_CASE(unread_answers_share_a_bounded_memory)
+{
+    task::event_loop loop;
+    loop.open();
+    counting_handler handler;
+    const core::socket_address address = test::free_address();
+    constexpr std::size_t limit = 32 * 1024 * 1024;
+    auto listening = http::server::listen(
+        loop, address, http::server_settings{.max_total_unsent_bytes = limit}, handler);
+    BOOST_REQUIRE(listening.ok());
+    std::vector<int> callers;
+    for (int i = 0; i < 6; ++i) {
+        callers.push_back(connect_to(address));
+        send_request(callers.back());
+        run(loop, 5);
+        // The first caller's answer is the largest.
+        const std::string body((i == 0 ? 24 : 16) * 1024 * 1024, 'x');
+        (*listening)->respond(handler.last, http::response_head{200, {}}, body);
+        run(loop, 5);
+    }
+    const auto is_closed = [](int fd) {
+        std::string part(1024 * 1024, ' ');
+        for (int i = 0; i < 100; ++i) {
+            const ssize_t size = ::recv(fd, part.data(), part.size(), MSG_DONTWAIT);
+            if (size == 0 || (size < 0 && errno != EAGAIN)) {
+                return true;
+            }
+        }
+        return false;
+    };
+    BOOST_TEST(is_closed(callers.front()));
+    const auto closed = std::count_if(callers.begin(), callers.end(), is_closed);
+    BOOST_TEST(closed >= 3);
+    BOOST_TEST(!is_closed(callers.back()));
+    for (const int fd : callers) {
+        ::close(fd);
+    }
+    listening->reset();
+    loop.close();
+}
+
 BOOST_AUTO_TEST_CASE(an_answer_that_is_being_sent_is_not_cut_by_the_idle_limit)
 {
     task::event_loop loop;
--- a/tests/platform/instance_test.cpp
+++ b/tests/platform/instance_test.cpp
@@ -251,7 +251,8 @@
                                {{"leave_s", 3},
                                 {"target_drain_ms", 2000},
                                 {"configuration_ms", 2000},
-                                {"directory_keep_s", 3}}}};
+                                {"directory_keep_s", 3},
+                                {"memory_mb", 8}}}};
     }
 
     void await_ready()
@@ -496,6 +497,38 @@
     BOOST_TEST(before.starts_with("HTTP/1.1 504"));
 }
 
+// Guards against faulty runners whose answers have no end: the memory that each may use adds up.
+BOOST_AUTO_TEST_CASE(answers_without_end_share_a_bounded_memory)
+{
+    captured_log log;
+    platform_fixture fixture;
+    const std::string head = "HTTP/1.1 200 OK\r\nX-Cyclamencourse-Request-Id: endless\r\n"
+                             "X-Cyclamencourse-Response-Seal: seal\r\n"
+                             "Transfer-Encoding: chunked\r\n\r\n";
+    const std::string chunk = "1000\r\n" + std::string(0x1000, 'x') + "\r\n";
+    std::vector<std::unique_ptr<test::raw_server>> targets;
+    for (int i = 0; i < 3; ++i) {
+        targets.push_back(std::make_unique<test::raw_server>(head, chunk));
+        fixture.list_target("raw-" + std::to_string(i), "raw", targets.back()->address);
+    }
+    std::vector<std::thread> callers;
+    std::atomic<int> lost = 0;
+    for (int i = 0; i < 6; ++i) {
+        callers.emplace_back(
+            [&] { lost += fixture.send("endless", "/raw/x", false).status == 200 ? 0 : 1; });
+    }
+    constexpr int status_ok = 200;
+    BOOST_TEST(fixture.send("sound", "/u/x", false).status == status_ok);
+    for (std::thread& each : callers) {
+        each.join();
+    }
+    BOOST_TEST(lost == 6);
+    // Two megabytes are the share of the fixture's memory for responses in progress, and one
+    // response alone may have eight.
+    BOOST_TEST(log.contains("event=response_given_up"));
+    BOOST_TEST(!log.contains("response body is too large"));
+}
+
 BOOST_AUTO_TEST_CASE(an_answer_whose_head_is_cut_never_reaches_the_caller_as_a_success)
 {
     platform_fixture fixture;
