--- a/src/relay/crash_evidence.cpp
+++ b/src/relay/crash_evidence.cpp
@@ -15,14 +15,24 @@
     return record.incarnation.empty() ? record.name : record.incarnation;
 }
 
-void log_deadly_sets(const core::service_name& service, const std::vector<deadly_set>& sets)
+void log_changes(const core::service_name& service, const std::vector<deadly_set>& former,
+                 const std::vector<deadly_set>& current)
 {
-    for (const deadly_set& each : sets) {
-        core::log_event(core::log_level::warning, "traits_quarantined",
-                        {{"service", service.str()}, {"traits", core::join(each.traits, ",")}});
+    const auto holds = [](const std::vector<deadly_set>& sets, const request_traits& traits) {
+        return std::any_of(sets.begin(), sets.end(),
+                           [&](const deadly_set& each) { return each.traits == traits; });
+    };
+    for (const deadly_set& each : current) {
+        if (!holds(former, each.traits)) {
+            core::log_event(core::log_level::warning, "traits_quarantined",
+                            {{"service", service.str()}, {"traits", core::join(each.traits, ",")}});
+        }
     }
-    if (sets.empty()) {
-        core::log_event(core::log_level::info, "traits_cleared", {{"service", service.str()}});
+    for (const deadly_set& each : former) {
+        if (!holds(current, each.traits)) {
+            core::log_event(core::log_level::info, "traits_cleared",
+                            {{"service", service.str()}, {"traits", core::join(each.traits, ",")}});
+        }
     }
 }
 
@@ -184,11 +194,13 @@
     std::map<core::service_name, std::vector<deadly_set>> former;
     former.swap(deadly_);
     for (const auto& [service, found] : suspects) {
-        std::vector<deadly_set> sets = find_deadly_sets(found, settings_.quarantine_threshold);
-        if (sets != former[service]) {
-            log_deadly_sets(service, sets);
-        }
-        deadly_.emplace(service, std::move(sets));
+        deadly_.emplace(service, find_deadly_sets(found, settings_.quarantine_threshold));
+    }
+    for (const auto& [service, sets] : former) {
+        deadly_[service];
+    }
+    for (const auto& [service, sets] : deadly_) {
+        log_changes(service, former[service], sets);
     }
 }
 
