http: the answer of a plain service is bounded on the own front

Callers of the own front could lose an instance to one faulty service whose answer has no end: service_task kept all of it.

--- a/src/http/service_task.cpp
+++ b/src/http/service_task.cpp
@@ -1,10 +1,18 @@
 #include "http/service_task.hpp"
 
+#include "core/error.hpp"
 #include "core/text.hpp"
 #include "http/service_codec.hpp"
 
 namespace cyclamen::http {
 
+namespace {
+
+/// Maximum size of a response body, which bounds the memory of a call.
+constexpr std::size_t max_response_bytes = 8 * 1024 * 1024;
+
+} // namespace
+
 service_task::service_task(task::outbox_ptr<api::service_event> decisions, task::task_host* host)
     : basic_task{"services", host}, decisions_{std::move(decisions), loop()}
 {
@@ -57,7 +65,14 @@
 
 void service_task::on_body(exchange_id exchange, std::string_view bytes)
 {
-    calls_.at(exchange).body += bytes;
+    std::string& body = calls_.at(exchange).body;
+    body += bytes;
+    if (body.size() > max_response_bytes) {
+        client_->cancel(exchange);
+        on_end(exchange, true,
+               core::make_error(core::error_kind::unavailable, "the response is too long",
+                                "try another target"));
+    }
 }
 
 void service_task::on_end(exchange_id exchange, bool sent, const absl::Status& status)
