--- a/src/relay/relay_manager.cpp
+++ b/src/relay/relay_manager.cpp
@@ -121,16 +121,11 @@
     const bool has_engine = traits != nullptr && traits->engine.has_value();
     const request_traits accused = traits_of(submitted, account);
     const auto quarantine = crashes_.quarantine_of(service, accused, now_);
-    const bool is_trial =
-        quarantine.has_value() && is_first_member() && crashes_.admit_trial(service, accused, now_);
+    const bool is_trial = quarantine.has_value() && admit_trial(submitted, service, accused);
     if (quarantine.has_value() && !is_trial) {
         refuse(submitted, core::error_kind::quarantined, quarantine_problem, *quarantine);
         return;
     }
-    if (is_trial) {
-        core::log_event(core::log_level::info, "quarantine_trial",
-                        {{"request", submitted.content->id}, {"service", service.str()}});
-    }
     request_plan plan{
         number,  submitted, *matched_route, service, has_engine ? traits->engine : std::nullopt,
         account, now_,      accused,        is_trial};
--- a/src/relay/relay_manager.hpp
+++ b/src/relay/relay_manager.hpp
@@ -137,6 +137,9 @@
     /// @return what may make a target crash on the request
     [[nodiscard]] static request_traits traits_of(const submission& submitted,
                                                   const core::account_name& account);
+    /// @return true if a quarantined request runs as a trial
+    bool admit_trial(const submission& submitted, const core::service_name& service,
+                     const request_traits& accused);
     void report_crashes();
     void write_crashes(const std::vector<crash_record>& records);
     void withdraw_expired_crashes();
--- a/src/relay/relay_manager_crashes.cpp
+++ b/src/relay/relay_manager_crashes.cpp
@@ -123,6 +123,18 @@
     }
 }
 
+bool relay_manager::admit_trial(const submission& submitted, const core::service_name& service,
+                                const request_traits& accused)
+{
+    // Each trial may cost a target, so one instance of the fleet makes them all.
+    const bool admitted = is_first_member() && crashes_.admit_trial(service, accused, now_);
+    if (admitted) {
+        core::log_event(core::log_level::info, "quarantine_trial",
+                        {{"request", submitted.content->id}, {"service", service.str()}});
+    }
+    return admitted;
+}
+
 bool relay_manager::is_first_member() const
 {
     const std::vector<member> members = members_.members();
