explain: a timeline ends with the request's last line

Operators saw: the timeline of a request could end with events of its target that were logged after the request had ended, in the same millisecond.

Cause: lines were bounded by the time of the request's last line.

Evidence: timeline_ends_with_the_requests_last_line_in_each_log fails on the code before. The position of the line bounds the timeline now.

--- a/src/explain/timeline.cpp
+++ b/src/explain/timeline.cpp
@@ -26,40 +26,43 @@
            instance_events.end();
 }
 
-/// Targets of a request, and the times of its first and last line in one log.
+/// Targets of a request, and its last line in one log.
 struct request_span {
     std::set<std::string, std::less<>> targets;
-    std::string first_time;
-    std::string last_time;
+    /// Lines may have the same time, so the end is a position.
+    std::size_t last_line = 0;
 };
 
 std::optional<request_span> find_request_span(const std::string& request, const log_text& log)
 {
     request_span span;
-    for (const std::string& each : log.lines) {
-        const auto line = parse_log_line(each);
+    bool found = false;
+    for (std::size_t i = 0; i < log.lines.size(); ++i) {
+        const auto line = parse_log_line(log.lines[i]);
         if (!line.has_value() || line->find("request") != request) {
             continue;
         }
-        span.first_time = span.first_time.empty() ? line->time : span.first_time;
-        span.last_time = line->time;
+        found = true;
+        span.last_line = i;
         for (const std::string_view field : target_fields) {
             span.targets.emplace(line->find(field));
         }
     }
     span.targets.erase("");
     span.targets.erase("none");
-    return span.first_time.empty() ? std::nullopt : std::optional{std::move(span)};
+    return found ? std::optional{std::move(span)} : std::nullopt;
 }
 
+/// @param position position of the line in its log
 /// @return true if a line belongs to the timeline of a request
-bool is_relevant(const log_line& line, const std::string& request, const request_span& span)
+bool is_relevant(const log_line& line, std::size_t position, const std::string& request,
+                 const request_span& span)
 {
     const std::string_view line_request = line.find("request");
     if (!line_request.empty()) {
         return line_request == request;
     }
-    if (line.time > span.last_time) {
+    if (position > span.last_line) {
         return false;
     }
     // Lines before the request's first line are kept: they show what the instance knew about the
@@ -88,9 +91,10 @@
         if (!span.has_value()) {
             continue;
         }
-        for (const std::string& each : log.lines) {
+        for (std::size_t i = 0; i < log.lines.size(); ++i) {
+            const std::string& each = log.lines[i];
             const auto line = parse_log_line(each);
-            if (line.has_value() && is_relevant(*line, request, *span)) {
+            if (line.has_value() && is_relevant(*line, i, request, *span)) {
                 timeline.push_back(
                     timeline_entry{line->time, log.source, each.substr(each.find("time="))});
             }
--- a/tests/explain/timeline_test.cpp
+++ b/tests/explain/timeline_test.cpp
@@ -73,3 +73,14 @@
     BOOST_TEST(explain::build_timeline("r1", {log("a.log", "time=1 event=store_lost table=op\n")})
                    .empty());
 }
+
+// Guards against lines that a request's end is not explained by, though they have its time.
+BOOST_AUTO_TEST_CASE(timeline_ends_with_the_requests_last_line_in_each_log)
+{
+    const auto timeline = explain::build_timeline(
+        "r1", {log("a.log", "time=1 level=info event=attempt_opened request=r1 target=t1\n"
+                            "time=2 level=info event=request_ended request=r1 outcome=failed\n"
+                            "time=2 level=info event=target_checked target=t1 result=refused\n")});
+    BOOST_REQUIRE(timeline.size() == 2U);
+    BOOST_TEST(timeline.back().text.find("outcome=failed") != std::string::npos);
+}
