--- a/src/relay/crash_evidence.cpp
+++ b/src/relay/crash_evidence.cpp
@@ -156,7 +156,8 @@
             }
         }
     }
-    for (auto& [name, known] : records_) {
+    for (auto& entry : records_) {
+        known_crash& known = entry.second;
         const core::service_name& service = known.record.service;
         const std::size_t withdrawn =
             std::erase_if(known.marked_here, [&](const std::string& trait) {
