http: the operating system's buffer of a connection is bounded

Cause: the kernel may grow a connection's receive buffer to 33 MB, and h2o reads all of it in one callback, so that a part of more than 8 MB came at once, past the limit for all responses in progress. Evidence: the new test receives a part of 13,363,620 bytes without the change (2,097,152 allowed) and passes with it. Why it works: SO_RCVBUF bounds what can be unread, so that a part is small and the limit for all responses is checked before the next one.

--- a/src/http/tcp_stream.cpp
+++ b/src/http/tcp_stream.cpp
@@ -15,10 +15,15 @@
 
 namespace {
 
+/// Maximum number of received bytes that the operating system holds for a connection. It would
+/// otherwise grow them to tens of megabytes for a peer that sends faster than it is read.
+constexpr int max_unread_bytes = 256 * 1024;
+
 void set_options(int descriptor, core::duration unacknowledged_timeout)
 {
     const int on = 1;
     ::setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    ::setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &max_unread_bytes, sizeof(max_unread_bytes));
     const auto timeout_ms = static_cast<unsigned>(
         std::chrono::duration_cast<std::chrono::milliseconds>(unacknowledged_timeout).count());
     ::setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms, sizeof(timeout_ms));
--- a/tests/http/client_test.cpp
+++ b/tests/http/client_test.cpp
@@ -1,4 +1,6 @@
+#include <algorithm>
 #include <string>
+#include <thread>
 
 #include <boost/test/unit_test.hpp>
 
@@ -45,8 +47,46 @@
     std::unique_ptr<http::buffered_client> client_;
 };
 
+/// Reads a response slowly and notes the largest part of its body.
+class slow_listener final : public http::client_listener {
+  public:
+    std::size_t largest = 0;
+    std::size_t received = 0;
+
+  private:
+    void on_head(http::exchange_id /*exchange*/, const http::response_head& /*head*/) override {}
+    void on_body(http::exchange_id /*exchange*/, std::string_view bytes) override
+    {
+        largest = std::max(largest, bytes.size());
+        received += bytes.size();
+        std::this_thread::sleep_for(20ms);
+    }
+    void on_end(http::exchange_id /*exchange*/, bool /*sent*/,
+                const absl::Status& /*status*/) override
+    {
+    }
+};
+
 } // namespace
 
+// Guards against a limit on responses that holds only for the bytes that were read.
+BOOST_AUTO_TEST_CASE(a_server_that_sends_faster_than_it_is_read_fills_a_bounded_buffer)
+{
+    constexpr std::size_t megabyte = 1024 * 1024;
+    test::raw_server server{"HTTP/1.1 200 OK\r\n\r\n", std::string(megabyte, 'x')};
+    task::event_loop loop;
+    loop.open();
+    slow_listener listener;
+    http::client client{loop, listener};
+    client.start(http::exchange_id{1}, server.address, http::request{"GET", "/", {}, ""});
+    while (listener.received < 64 * megabyte) {
+        loop.run_once(100ms);
+    }
+    client.cancel(http::exchange_id{1});
+    BOOST_TEST(listener.largest <= 2 * megabyte);
+    loop.close();
+}
+
 BOOST_AUTO_TEST_CASE(a_response_without_end_fails_before_its_time_is_up)
 {
     const std::string noise(64 * 1024, 'x');
