relay: a stream whose connection carries nothing more goes on over another

Cause: any answer of the target over a new connection returned a doubted stream to waiting; nothing compared the run's progress with what arrived. Ruled out: silent connections that are used again, as each exchange opens its own. Why it works: the question names the run. The own front already asks for the stream itself. Log: target_alive, channel_lost.

--- a/src/relay/messages.hpp
+++ b/src/relay/messages.hpp
@@ -16,6 +16,7 @@
 #include "relay/reported_load.hpp"
 #include "relay/route_table.hpp"
 #include "relay/run_copy.hpp"
+#include "relay/run_progress.hpp"
 #include "relay/store_messages.hpp"
 #include "relay/target.hpp"
 #include "relay/target_contact.hpp"
@@ -243,6 +244,8 @@
     const request_number request;
     const core::target_name target;
     const core::socket_address address;
+    /// Id of a request that the target runs, whose progress is asked for; empty for none.
+    const std::string run;
 
     auto operator<=>(const ask_target&) const = default;
 };
@@ -357,6 +360,8 @@
     const core::target_name target;
     /// Empty if the target did not answer.
     const std::optional<reported_load> load;
+    /// Progress of the run that was asked for.
+    const run_progress progress = {};
 
     auto operator<=>(const target_answered&) const = default;
 };
--- a/src/relay/relay_manager.cpp
+++ b/src/relay/relay_manager.cpp
@@ -18,11 +18,11 @@
 relay_manager::relay_manager(const relay_settings& settings, const relay_charts& charts,
                              std::unique_ptr<target_chooser> chooser,
                              limits::engine_admission::policy_factory make_start_policy,
-                             relay_host& host)
-    : settings_{settings}, charts_{charts}, host_{host},
-      targets_{settings_, charts.target_health, std::move(chooser)}, budget_{settings.retries},
-      admission_{std::move(make_start_policy)}, lifecycle_{settings.lifecycle, charts.lifecycle,
-                                                           *this},
+                             std::unique_ptr<silence_policy> silence, relay_host& host)
+    : settings_{settings}, charts_{charts}, host_{host}, targets_{settings_, charts.target_health,
+                                                                  std::move(chooser)},
+      budget_{settings.retries}, admission_{std::move(make_start_policy)},
+      silence_{std::move(silence)}, lifecycle_{settings.lifecycle, charts.lifecycle, *this},
       members_{settings_.name, settings_.watch}, crashes_{settings_.crashes}
 {
 }
--- a/src/relay/relay_manager.hpp
+++ b/src/relay/relay_manager.hpp
@@ -45,10 +45,12 @@
     /// @param charts the charts
     /// @param chooser strategy that selects targets
     /// @param make_start_policy makes the policy by which requests start on a service's engines
+    /// @param silence decides why attempts receive nothing
     /// @param host callbacks; must outlive this object
     relay_manager(const relay_settings& settings, const relay_charts& charts,
                   std::unique_ptr<target_chooser> chooser,
-                  limits::engine_admission::policy_factory make_start_policy, relay_host& host);
+                  limits::engine_admission::policy_factory make_start_policy,
+                  std::unique_ptr<silence_policy> silence, relay_host& host);
     ~relay_manager() override;
     relay_manager(const relay_manager&) = delete;
     relay_manager& operator=(const relay_manager&) = delete;
@@ -73,6 +75,7 @@
     target_directory targets_;
     retry_budget budget_;
     limits::engine_admission admission_;
+    const std::unique_ptr<silence_policy> silence_;
     relay_metrics metrics_;
     entry_lifecycle lifecycle_;
     /// Callers' connections have requests or answers on their way; known only while leaving.
@@ -191,6 +194,7 @@
     void on_suspicious_loss(const request_plan& plan, core::attempt_number attempt,
                             const target_record& target, attempt_stage stage) override;
     void on_survived(const request_plan& plan) override;
+    [[nodiscard]] silence_cause explain(const silence_evidence& evidence) const override;
     void on_loss(const core::target_name& target) override;
     void on_success(const core::target_name& target) override;
     void on_misdirected(const target_record& listed) override;
--- a/src/relay/relay_task.cpp
+++ b/src/relay/relay_task.cpp
@@ -26,7 +26,8 @@
 {
     manager_ = std::make_unique<relay_manager>(
         settings_, charts_, std::make_unique<least_work_chooser>(settings_.placement),
-        [] { return std::make_unique<limits::on_time_start>(); }, static_cast<relay_host&>(*this));
+        [] { return std::make_unique<limits::on_time_start>(); },
+        std::make_unique<progress_silence_policy>(), static_cast<relay_host&>(*this));
     manager_->start(now());
     timer_.set(manager_->next_deadline());
     return absl::OkStatus();
--- a/src/relay/relayed_request.cpp
+++ b/src/relay/relayed_request.cpp
@@ -126,9 +126,8 @@
 {
     if (placed_.has_value()) {
         if (placed_->get().target.name == answer.target) {
-            raise(answer.load.has_value() ? request_event::target_alive
-                                          : request_event::target_mute,
-                  now);
+            now_ = now;
+            raise(interpret(answer), now);
         }
         return;
     }
@@ -155,6 +154,20 @@
     raise(request_event::load_heard, now);
 }
 
+request_event relayed_request::interpret(const target_answered& answer) const
+{
+    if (!answer.load.has_value()) {
+        return request_event::target_mute;
+    }
+    const silence_evidence evidence{core::parse_number<std::uint64_t>(last_event_.value_or("")),
+                                    now_ - attempt_opened_at_,
+                                    is_new_incarnation(placed_->get().target, *answer.load),
+                                    answer.load->waiting, answer.progress};
+    record_answering_target(evidence);
+    return host_.explain(evidence) == silence_cause::lost_channel ? request_event::channel_lost
+                                                                  : request_event::target_alive;
+}
+
 void relayed_request::on(const run_copied& result, core::instant now)
 {
     const auto& standby = placed_->get().standby;
@@ -322,7 +335,7 @@
         break;
     case request_action::ask_target:
         host_.send(relay::ask_target{plan_.number, placed_->get().target.name,
-                                     placed_->get().target.address});
+                                     placed_->get().target.address, plan_.submitted.content->id});
         break;
     case request_action::deliver_events:
         deliver_events();
@@ -381,6 +394,11 @@
         record_mute_target();
         host_.on_loss(placed_->get().target.name);
         break;
+    case request_action::note_lost_channel:
+        loss_detail_ = "silent channel";
+        may_have_run_ = true;
+        record_attempt_end("channel_lost");
+        break;
     case request_action::note_loss:
         report_outcome(true);
         record_attempt_end("attempt_lost");
--- a/src/relay/relayed_request.hpp
+++ b/src/relay/relayed_request.hpp
@@ -16,6 +16,7 @@
 #include "relay/relay_settings.hpp"
 #include "relay/request_chart.hpp"
 #include "relay/run_protection.hpp"
+#include "relay/silence_policy.hpp"
 
 namespace cyclamen::relay {
 
@@ -122,6 +123,9 @@
     /// A target answered the request, completely or for a while, without a crash.
     virtual void on_survived(const request_plan& plan) = 0;
 
+    /// @return why an attempt receives nothing
+    [[nodiscard]] virtual silence_cause explain(const silence_evidence& evidence) const = 0;
+
     /// A target lost an attempt or didn't respond.
     virtual void on_loss(const core::target_name& target) = 0;
     virtual void on_success(const core::target_name& target) = 0;
@@ -247,8 +251,11 @@
     void refuse_quarantined();
     void refuse_held();
     [[nodiscard]] request_event missing_target_event();
+    /// @return what the answer of the current target, which was silent, means for the attempt
+    [[nodiscard]] request_event interpret(const target_answered& answer) const;
     void record_attempt_end(std::string_view event);
     void record_mute_target() const;
+    void record_answering_target(const silence_evidence& evidence) const;
     /// Logs what kept the request from going on.
     void record_abandonment() const;
     void refuse(core::error_kind kind, std::string_view problem, bool not_run,
--- a/src/relay/relayed_request_placement.cpp
+++ b/src/relay/relayed_request_placement.cpp
@@ -69,7 +69,7 @@
 void relayed_request::ask_candidates()
 {
     for (const auto& [name, each] : pending_candidates_) {
-        host_.send(relay::ask_target{plan_.number, name, each.address});
+        host_.send(relay::ask_target{plan_.number, name, each.address, {}});
     }
 }
 
--- a/src/relay/request_chart.hpp
+++ b/src/relay/request_chart.hpp
@@ -29,6 +29,7 @@
     silence_noticed,
     target_alive,
     target_mute,
+    channel_lost,
 };
 
 /// Guards of the chart `relayed_request`.
@@ -73,6 +74,7 @@
     note_failure,
     note_silence,
     note_mute,
+    note_lost_channel,
     note_caller_left,
 };
 
--- a/src/standin/runner_task.cpp
+++ b/src/standin/runner_task.cpp
@@ -1,5 +1,6 @@
 #include "standin/runner_task.hpp"
 
+#include <algorithm>
 #include <charconv>
 
 #include <nlohmann/json.hpp>
@@ -137,6 +138,11 @@
     if (command.kind == runner_fault::killed) {
         server_.reset();
     }
+    if (command.kind == runner_fault::channels_silent) {
+        for (const auto& [exchange, run] : runs_) {
+            run->is_silent = true;
+        }
+    }
     if (command.kind == runner_fault::leaving) {
         write_row("draining", {});
         post_report(
@@ -234,11 +240,16 @@
 
 void runner_task::send_report(http::exchange_id exchange)
 {
+    document runs = document::array();
+    for (const auto& [number, run] : runs_) {
+        runs.push_back(document::array({run->id, 0, run->next_event - 1, 0}));
+    }
     const document body{
         {"stage", "both"},  {"models", document::array({{{"name", "m"}, {"version", 1}}})},
         {"state", "ready"}, {"born", started_ms_},
         {"queued", 0},      {"running", runs_.size()},
-        {"kv_used", 0},     {"kv_total", 1'000'000}};
+        {"kv_used", 0},     {"kv_total", 1'000'000},
+        {"runs", runs}};
     server_->respond(exchange,
                      http::response_head{status_ok, {{"content-type", "application/json"}}},
                      body.dump());
@@ -312,6 +323,9 @@
 void runner_task::send_plain_answer(active_run& run)
 {
     const http::exchange_id exchange = run.exchange;
+    if (run.is_silent) {
+        return;
+    }
     const std::string body = answer_content(run.seed, 0);
     std::vector<http::header> fields = answer_fields(run);
     report_event(runner_report::event::ended, run);
@@ -345,6 +359,12 @@
 
 void runner_task::send_event(active_run& run)
 {
+    if (run.is_silent) {
+        // A run whose answer is complete stays, as its end can't be sent.
+        run.next_event = std::min(run.next_event + 1, settings_.stream_events + 1);
+        run.timer = loop().run_after(settings_.event_gap, [this, &run] { send_event(run); });
+        return;
+    }
     const http::exchange_id exchange = run.exchange;
     if (!run.head_sent) {
         run.head_sent = true;
--- a/src/standin/runner_task.hpp
+++ b/src/standin/runner_task.hpp
@@ -77,6 +77,9 @@
     leaving,
     /// The same, but it is not listed as draining.
     leaving_unlisted,
+    /// Connections that are open when the fault begins carry no more answers; their runs go on, and
+    /// new connections work.
+    channels_silent,
 };
 
 /// Starts a fault of a runner, or ends it.
@@ -143,6 +146,8 @@
         std::string seed;
         std::uint64_t next_event = 1;
         bool head_sent = false;
+        /// The connection carries no more of the answer.
+        bool is_silent = false;
         task::timer_id timer;
         task::timer_id copy_timer;
     };
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -335,3 +335,19 @@
         BOOST_TEST((notice(503, {{"retry-after", too_long}})->hold == 5min));
     }
 }
+
+BOOST_AUTO_TEST_CASE(a_load_report_tells_how_far_a_run_is)
+{
+    const std::string report = R"({"running":2,"runs":[["9c41",1500,12,1],["77aa",300,0,2]]})";
+    const relay::run_progress found = platform::decode_progress(report, "9c41");
+    BOOST_TEST((found == relay::run_progress{relay::run_listing::present, 12}));
+    const relay::run_progress missing = platform::decode_progress(report, "9c4");
+    BOOST_TEST((missing == relay::run_progress{relay::run_listing::absent, 0}));
+    // Nothing is concluded from a report without runs or with others than the protocol's.
+    for (const std::string odd :
+         {R"({"running":1})", R"({"runs":7})", R"({"runs":[["9c41",1,"2",0]]})",
+          R"({"runs":[["9c41",1]]})", R"({"runs":[{}]})", "[]", "x"}) {
+        BOOST_TEST((platform::decode_progress(odd, "9c41") == relay::run_progress{}), odd);
+    }
+    BOOST_TEST((platform::decode_progress(report, "") == relay::run_progress{}));
+}
--- a/tests/platform/instance_test.cpp
+++ b/tests/platform/instance_test.cpp
@@ -404,6 +404,22 @@
     BOOST_TEST(fixture.send("good-1", "/u/x", false).status == status_ok);
 }
 
+// Guards against streams that wait for the rest of their time on connections that carry nothing
+// more, while their engines answer over new ones.
+BOOST_AUTO_TEST_CASE(a_stream_whose_connection_falls_silent_goes_on_over_another)
+{
+    captured_log log;
+    platform_fixture fixture;
+    std::thread saboteur{[&] {
+        std::this_thread::sleep_for(400ms);
+        fixture.inject_fault("engine", runner_fault::channels_silent);
+    }};
+    const auto answer = fixture.send("quiet-1", "/s/x", true);
+    saboteur.join();
+    BOOST_TEST(answer.body.find("id: 60\n") != std::string::npos);
+    BOOST_TEST(log.count("event=channel_lost request=quiet-1") == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(a_runner_that_asks_for_no_requests_gets_none_until_that_time_is_over)
 {
     captured_log log;
--- a/tests/relay/test_fixture.hpp
+++ b/tests/relay/test_fixture.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <algorithm>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -27,9 +28,11 @@
                     .domain = core::failure_domain_name{"a"},
                     .entry = core::socket_address{"10.0.0.1", 80},
                     .retries = retries},
-          manager_{settings_, load_charts(),
+          manager_{settings_,
+                   load_charts(),
                    std::make_unique<relay::least_work_chooser>(settings_.placement),
                    [] { return std::make_unique<limits::on_time_start>(); },
+                   std::make_unique<relay::progress_silence_policy>(),
                    static_cast<relay::relay_host&>(*this)}
     {
         manager_.start(clock_.now());
@@ -224,6 +227,8 @@
     bool targets_answer = true;
     std::set<std::string> unresponsive_targets;
     std::map<std::string, relay::reported_load> loads;
+    /// What targets report of a run; nothing if empty.
+    std::function<relay::run_progress(const relay::ask_target&)> progress;
     /// Targets whose address refuses connections.
     std::set<std::string> ended_targets;
 
@@ -255,7 +260,8 @@
                     relay::target_answered{asked->request, asked->target,
                                            load == loads.end()
                                                ? relay::reported_load{0, 0, 0, 50000, {}, false}
-                                               : load->second},
+                                               : load->second,
+                                           progress ? progress(*asked) : relay::run_progress{}},
                     clock_.now());
             }
         }
