relay: a stream stays with an engine that is paused for a moment

Cause: a target had 105 ms to answer a question, whether it was gone or paused. Ruled out: waiting longer for every silent target, which makes the streams of a domain that goes dark late; a second run that sends nothing, which is a run all the same. Why it works: a machine that accepts the connection of a question isn't off or cut off, so its target has a second to answer; one that can't be reached is left as before. As a paused target's report may overtake its events, a late answer proves nothing about the channel. silence_policy holds both decisions, with the former as the baseline.

--- a/src/http/buffered_client.cpp
+++ b/src/http/buffered_client.cpp
@@ -19,12 +19,14 @@
 }
 
 exchange_id buffered_client::send(const core::socket_address& address, const request& sent,
-                                  std::optional<core::duration> limit, callback on_response)
+                                  std::optional<core::duration> limit, callback on_response,
+                                  std::function<void()> on_connected)
 {
     last_exchange_ = last_exchange_.next();
     const exchange_id exchange = last_exchange_;
     auto opened = std::make_unique<open_request>();
     opened->on_response = std::move(on_response);
+    opened->on_connected = std::move(on_connected);
     if (limit.has_value()) {
         opened->timer = loop_.run_after(*limit, [this, exchange] { on_limit(exchange); });
     }
@@ -41,6 +43,14 @@
     }
 }
 
+void buffered_client::on_connected(exchange_id exchange)
+{
+    const open_request& opened = *pending_.at(exchange);
+    if (opened.on_connected) {
+        opened.on_connected();
+    }
+}
+
 void buffered_client::on_head(exchange_id exchange, const response_head& head)
 {
     pending_.at(exchange)->head.emplace(head);
--- a/src/http/buffered_client.hpp
+++ b/src/http/buffered_client.hpp
@@ -43,9 +43,11 @@
     /// @param sent the request
     /// @param limit time limit for the complete response; empty if the owner keeps the time itself
     /// @param on_response receives the result; never called from within send()
+    /// @param on_connected called when the connection was established; may be empty
     /// @return number of the exchange, for cancel()
     exchange_id send(const core::socket_address& address, const request& sent,
-                     std::optional<core::duration> limit, callback on_response);
+                     std::optional<core::duration> limit, callback on_response,
+                     std::function<void()> on_connected = {});
 
     /// Cancels a request without calling its callback. No effect if it has ended.
     void cancel(exchange_id exchange);
@@ -53,6 +55,7 @@
   private:
     struct open_request {
         callback on_response;
+        std::function<void()> on_connected;
         task::timer_id timer;
         std::optional<core::cell<response_head>> head;
         std::string body;
@@ -64,6 +67,7 @@
     std::map<exchange_id, std::unique_ptr<open_request>> pending_;
     exchange_id last_exchange_;
 
+    void on_connected(exchange_id exchange) override;
     void on_head(exchange_id exchange, const response_head& head) override;
     void on_body(exchange_id exchange, std::string_view bytes) override;
     void on_end(exchange_id exchange, bool sent, const absl::Status& status) override;
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -109,6 +109,7 @@
         {
             connected = true;
             owner.loop_.cancel(connect_timer);
+            owner.listener_.on_connected(id);
         }
         void on_bytes() override { owner.read(id, false); }
         void on_end(close_reason end) override
--- a/src/http/client.hpp
+++ b/src/http/client.hpp
@@ -18,6 +18,9 @@
   public:
     virtual ~client_listener() = default;
 
+    /// The connection was established; its server may have read nothing yet.
+    virtual void on_connected(exchange_id /*exchange*/) {}
+
     /// The status line and headers were received.
     virtual void on_head(exchange_id exchange, const response_head& head) = 0;
 
--- a/src/relay/messages.hpp
+++ b/src/relay/messages.hpp
@@ -354,6 +354,15 @@
     auto operator<=>(const run_copied&) const = default;
 };
 
+/// The connection for ask_target was established: the target's machine runs and listens, whether
+/// the target answers or not.
+struct target_reached {
+    const request_number request;
+    const core::target_name target;
+
+    auto operator<=>(const target_reached&) const = default;
+};
+
 /// Result of ask_target.
 struct target_answered {
     const request_number request;
@@ -402,7 +411,7 @@
 using relay_message =
     std::variant<submission, caller_gone, entry_state, metrics_query, stream_begun, stream_events,
                  stream_finished, attempt_answered, attempt_rejected, attempt_lost, run_copied,
-                 target_notice, target_answered, target_identified, target_checked,
+                 target_notice, target_reached, target_answered, target_identified, target_checked,
                  instance_answered, configuration_read, configuration_confirmed, targets_listed,
                  members_listed, crashes_listed, rollouts_listed, rollout_reports_listed,
                  members_restored, crashes_restored, stop_requested>;
--- a/src/relay/relay_manager.cpp
+++ b/src/relay/relay_manager.cpp
@@ -194,6 +194,15 @@
     targets_.on_notice(notice, now_);
 }
 
+void relay_manager::on(const target_reached& report)
+{
+    const auto found = requests_.find(report.request);
+    if (found != requests_.end()) {
+        found->second->on(report, now_);
+        update_or_remove(report.request);
+    }
+}
+
 void relay_manager::on(const target_answered& answer)
 {
     const auto found = requests_.find(answer.request);
--- a/src/relay/relay_manager.hpp
+++ b/src/relay/relay_manager.hpp
@@ -125,6 +125,7 @@
     void watch();
     void on(const stop_requested& request);
     void on(const target_notice& notice);
+    void on(const target_reached& report);
     void on(const target_answered& answer);
     /// Notifies requests of targets that are gone or leaving, since standby copies there are lost.
     void report_ending_targets();
@@ -194,7 +195,7 @@
     void on_suspicious_loss(const request_plan& plan, core::attempt_number attempt,
                             const target_record& target, attempt_stage stage) override;
     void on_survived(const request_plan& plan) override;
-    [[nodiscard]] silence_cause explain(const silence_evidence& evidence) const override;
+    [[nodiscard]] const silence_policy& silences() const override { return *silence_; }
     void on_loss(const core::target_name& target) override;
     void on_success(const core::target_name& target) override;
     void on_misdirected(const target_record& listed) override;
--- a/src/relay/relay_manager_requests.cpp
+++ b/src/relay/relay_manager_requests.cpp
@@ -96,11 +96,6 @@
     metrics_.on_attempt(labels_of(plan), event);
 }
 
-silence_cause relay_manager::explain(const silence_evidence& evidence) const
-{
-    return silence_->explain(evidence);
-}
-
 void relay_manager::on_loss(const core::target_name& target)
 {
     targets_.on_loss(target, now_);
--- a/src/relay/relayed_request.cpp
+++ b/src/relay/relayed_request.cpp
@@ -122,6 +122,13 @@
                                                            : request_event::target_missing;
 }
 
+void relayed_request::on(const target_reached& report, core::instant now)
+{
+    if (placed_.has_value() && placed_->get().target.name == report.target) {
+        raise(request_event::target_reached, now);
+    }
+}
+
 void relayed_request::on(const target_answered& answer, core::instant now)
 {
     if (placed_.has_value()) {
@@ -162,10 +169,13 @@
     const silence_evidence evidence{core::parse_number<std::uint64_t>(last_event_.value_or("")),
                                     now_ - attempt_opened_at_,
                                     is_new_incarnation(placed_->get().target, *answer.load),
-                                    answer.load->waiting, answer.progress};
+                                    answer.load->waiting,
+                                    answer.progress,
+                                    now_ - asked_at_};
     record_answering_target(evidence);
-    return host_.explain(evidence) == silence_cause::lost_channel ? request_event::channel_lost
-                                                                  : request_event::target_alive;
+    return host_.silences().explain(evidence) == silence_cause::lost_channel
+               ? request_event::channel_lost
+               : request_event::target_alive;
 }
 
 void relayed_request::on(const run_copied& result, core::instant now)
@@ -263,6 +273,8 @@
                                                           : settings_.safe_retry_fraction);
     case request_timeout::pause_limit:
         return core::fraction_of(pause_goal, settings_.pause_limit_fraction);
+    case request_timeout::report_limit:
+        return host_.silences().patience(pause_goal);
     case request_timeout::question_limit:
         break;
     }
@@ -334,6 +346,7 @@
         }
         break;
     case request_action::ask_target:
+        asked_at_ = now_;
         host_.send(relay::ask_target{plan_.number, placed_->get().target.name,
                                      placed_->get().target.address, plan_.submitted.content->id});
         break;
--- a/src/relay/relayed_request.hpp
+++ b/src/relay/relayed_request.hpp
@@ -123,8 +123,8 @@
     /// A target answered the request, completely or for a while, without a crash.
     virtual void on_survived(const request_plan& plan) = 0;
 
-    /// @return why an attempt receives nothing
-    [[nodiscard]] virtual silence_cause explain(const silence_evidence& evidence) const = 0;
+    /// @return how the silence of targets is judged
+    [[nodiscard]] virtual const silence_policy& silences() const = 0;
 
     /// A target lost an attempt or didn't respond.
     virtual void on_loss(const core::target_name& target) = 0;
@@ -156,6 +156,7 @@
     void on(const attempt_answered& answer, core::instant now);
     void on(const attempt_rejected& rejection, core::instant now);
     void on(const attempt_lost& loss, core::instant now);
+    void on(const target_reached& report, core::instant now);
     void on(const target_answered& answer, core::instant now);
     void on(const run_copied& result, core::instant now);
 
@@ -225,6 +226,8 @@
     std::optional<core::instant> begun_at_;
     bool survived_ = false;
     core::instant attempt_opened_at_;
+    /// When the target of the current attempt was asked last.
+    core::instant asked_at_;
     /// The outcome of the current attempt was reported.
     bool outcome_reported_ = false;
     std::optional<core::cell<version_rule>> rule_;
--- a/src/relay/relayed_request_outcome.cpp
+++ b/src/relay/relayed_request_outcome.cpp
@@ -160,6 +160,7 @@
                      {"waiting", evidence.waiting},
                      {"run", listings.at(static_cast<std::size_t>(evidence.progress.listing))},
                      {"events_made", evidence.progress.events_made},
+                     {"answered_ms", core::to_milliseconds(evidence.answer_delay)},
                      {"last_event", last_event_.value_or("none")},
                      {"after_ms", core::to_milliseconds(now_ - plan_.accepted)}});
 }
--- a/src/relay/request_chart.cpp
+++ b/src/relay/request_chart.cpp
@@ -12,7 +12,8 @@
          "engines_overloaded", "placement_due",    "attempt_rejected",
          "attempt_lost",       "answer_arrived",   "stream_begun",
          "events_arrived",     "stream_finished",  "silence_noticed",
-         "target_alive",       "target_mute",      "channel_lost"},
+         "target_alive",       "target_mute",      "channel_lost",
+         "target_reached"},
         {"answer_begun", "may_have_run", "may_wait", "may_offer_again", "may_go_on", "may_move",
          "may_retry", "replaces_failure", "may_ask", "events_seen", "candidates_left"},
         {"seek_target",     "release_attempt",    "ask_candidates",  "weigh_candidates",
@@ -23,7 +24,7 @@
          "note_rejection",  "note_loss",          "note_failure",    "note_silence",
          "note_mute",       "note_lost_channel",  "note_caller_left"},
         {"answer_limit", "placement_pause", "survey_limit", "first_answer_limit", "pause_limit",
-         "question_limit", "room_pause", "offer_pause"}};
+         "question_limit", "room_pause", "offer_pause", "report_limit"}};
     return words;
 }
 
--- a/src/relay/request_chart.hpp
+++ b/src/relay/request_chart.hpp
@@ -30,6 +30,7 @@
     target_alive,
     target_mute,
     channel_lost,
+    target_reached,
 };
 
 /// Guards of the chart `relayed_request`.
@@ -88,6 +89,7 @@
     question_limit,
     room_pause,
     offer_pause,
+    report_limit,
 };
 
 /// @return the events, guards, actions and timeouts of the chart `relayed_request`
--- a/src/standin/runner_task.cpp
+++ b/src/standin/runner_task.cpp
@@ -128,8 +128,24 @@
     copies_.clear();
 }
 
+void runner_task::resume()
+{
+    for (const http::exchange_id ended : std::exchange(unread_ends_, {})) {
+        on_disconnect(ended);
+    }
+    for (const auto& [exchange, run] : runs_) {
+        if (run->head_sent && !run->withheld.empty()) {
+            server_->send(exchange, std::exchange(run->withheld, {}), false);
+        }
+    }
+    for (const auto& [exchange, request] : std::exchange(unread_requests_, {})) {
+        on_request(exchange, request);
+    }
+}
+
 void runner_task::on_message(const set_runner_fault& command)
 {
+    const bool was_paused = fault_ == runner_fault::paused;
     const bool ends_incarnation =
         fault_ == runner_fault::killed || fault_ == runner_fault::dark || is_leaving();
     if (command.kind == runner_fault::killed || command.kind == runner_fault::dark) {
@@ -149,6 +165,9 @@
             runner_report{runner_report::event::leaving, name(), {}, {}, {}, false, 0, now()});
     }
     fault_ = command.kind;
+    if (was_paused && fault_ != runner_fault::paused) {
+        resume();
+    }
     if (fault_ == runner_fault::none && ends_incarnation) {
         end_incarnation();
         restart();
@@ -195,6 +214,10 @@
     if (fault_ == runner_fault::dark) {
         return;
     }
+    if (fault_ == runner_fault::paused) {
+        unread_requests_.emplace_back(exchange, request);
+        return;
+    }
     if (request.path == "/report") {
         send_report(exchange);
         return;
@@ -231,6 +254,10 @@
 
 void runner_task::on_disconnect(http::exchange_id exchange)
 {
+    if (fault_ == runner_fault::paused) {
+        unread_ends_.push_back(exchange);
+        return;
+    }
     const auto found = runs_.find(exchange);
     if (found != runs_.end()) {
         report_event(runner_report::event::disconnected, *found->second);
@@ -326,6 +353,10 @@
     if (run.is_silent) {
         return;
     }
+    if (fault_ == runner_fault::paused) {
+        run.timer = loop().run_after(settings_.event_gap, [this, &run] { send_plain_answer(run); });
+        return;
+    }
     const std::string body = answer_content(run.seed, 0);
     std::vector<http::header> fields = answer_fields(run);
     report_event(runner_report::event::ended, run);
@@ -366,6 +397,10 @@
         return;
     }
     const http::exchange_id exchange = run.exchange;
+    if (fault_ == runner_fault::paused && (!run.head_sent || is_last(run))) {
+        run.timer = loop().run_after(settings_.event_gap, [this, &run] { send_event(run); });
+        return;
+    }
     if (!run.head_sent) {
         run.head_sent = true;
         if (fault_ == runner_fault::failing) {
@@ -396,8 +431,13 @@
         remove_run(exchange);
         return;
     }
-    const bool last = number >= settings_.stream_events;
-    server_->send(exchange, event, last);
+    const bool last = is_last(run);
+    if (fault_ == runner_fault::paused) {
+        run.withheld += event;
+    }
+    else {
+        server_->send(exchange, event, last);
+    }
     ++run.next_event;
     if (last) {
         report_event(runner_report::event::ended, run);
@@ -407,6 +447,11 @@
     run.timer = loop().run_after(settings_.event_gap, [this, &run] { send_event(run); });
 }
 
+bool runner_task::is_last(const active_run& run) const
+{
+    return run.next_event >= settings_.stream_events;
+}
+
 void runner_task::send_copy(active_run& run)
 {
     const auto standby =
--- a/src/standin/runner_task.hpp
+++ b/src/standin/runner_task.hpp
@@ -80,6 +80,9 @@
     /// Connections that are open when the fault begins carry no more answers; their runs go on, and
     /// new connections work.
     channels_silent,
+    /// The runner reads and sends nothing, and its runs go on. What it has missed and what it has
+    /// made follows when the fault ends.
+    paused,
 };
 
 /// Starts a fault of a runner, or ends it.
@@ -146,6 +149,8 @@
         std::string seed;
         std::uint64_t next_event = 1;
         bool head_sent = false;
+        /// Events that were made while the runner was paused.
+        std::string withheld = {};
         /// The connection carries no more of the answer.
         bool is_silent = false;
         task::timer_id timer;
@@ -163,6 +168,9 @@
     task::timer_id restart_timer_;
     std::uint64_t started_ms_ = 0;
     std::map<http::exchange_id, std::unique_ptr<active_run>> runs_;
+    /// What has arrived while the runner was paused: requests, and the exchanges that have ended.
+    std::vector<std::pair<http::exchange_id, http::request>> unread_requests_;
+    std::vector<http::exchange_id> unread_ends_;
     /// Standby copies from other runners: number of the last event of the run, by request id.
     std::map<std::string, std::uint64_t> copies_;
 
@@ -184,12 +192,16 @@
     void begin_incarnation();
     void write_row(std::string_view state, const std::string& previous_name);
     void end_incarnation();
+    /// Reads what has arrived and sends what was made while the runner was paused.
+    void resume();
     void send_report(http::exchange_id exchange);
     void store_copy(http::exchange_id exchange, const http::request& request);
     void reject(http::exchange_id exchange, const std::string& id, int status);
     void start_run(http::exchange_id exchange, const http::request& request);
     void send_plain_answer(active_run& run);
     void send_event(active_run& run);
+    /// @return true if the next event of a run is its last
+    [[nodiscard]] bool is_last(const active_run& run) const;
     void crash(active_run& run);
     void restart();
     void send_copy(active_run& run);
--- a/tests/platform/instance_test.cpp
+++ b/tests/platform/instance_test.cpp
@@ -420,6 +420,23 @@
     BOOST_TEST(log.count("event=channel_lost request=quiet-1") == 1U);
 }
 
+// Guards against a second run of a stream beside the one of an engine that is paused for a moment.
+BOOST_AUTO_TEST_CASE(a_stream_stays_with_an_engine_that_is_paused_for_less_than_a_second)
+{
+    captured_log log;
+    platform_fixture fixture;
+    std::thread saboteur{[&] {
+        std::this_thread::sleep_for(400ms);
+        fixture.inject_fault("engine", runner_fault::paused);
+        std::this_thread::sleep_for(800ms);
+        fixture.inject_fault("engine", runner_fault::none);
+    }};
+    const auto answer = fixture.send("pause-1", "/s/x", true);
+    saboteur.join();
+    BOOST_TEST(answer.body.find("id: 60\n") != std::string::npos);
+    BOOST_TEST(log.count("event=attempt_opened request=pause-1") == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(a_runner_that_asks_for_no_requests_gets_none_until_that_time_is_over)
 {
     captured_log log;
--- a/tests/relay/silence_test.cpp
+++ b/tests/relay/silence_test.cpp
@@ -18,9 +18,9 @@
 constexpr core::duration question_limit = 105ms;
 
 relay::silence_evidence evidence_of(const run_progress& progress, std::uint32_t waiting = 0,
-                                    core::duration age = 5s)
+                                    core::duration age = 5s, core::duration answer_delay = 1ms)
 {
-    return relay::silence_evidence{3, age, false, waiting, progress};
+    return relay::silence_evidence{3, age, false, waiting, progress, answer_delay};
 }
 
 std::size_t closed(const relay_fixture& fixture)
@@ -82,6 +82,35 @@
     BOOST_TEST(closed(fixture) == 0U);
 }
 
+// Guards against a second run beside the one of a sound target whose process is paused.
+BOOST_AUTO_TEST_CASE(stream_of_a_paused_target_whose_machine_accepts_connections_stays_for_a_second)
+{
+    relay_fixture fixture;
+    fixture.submit(1);
+    fixture.stream_to(3);
+    fixture.targets_answer = false;
+    fixture.targets_reachable = true;
+    fixture.advance(1s);
+    BOOST_TEST(closed(fixture) == 0U);
+    fixture.stream_to(4);
+    fixture.advance(200ms);
+    BOOST_TEST(fixture.last_attempt().attempt.number.value() == 1U);
+    // The process never comes back.
+    fixture.advance(1300ms);
+    BOOST_TEST(closed(fixture) == 1U);
+    BOOST_TEST(fixture.last_attempt().last_event.value_or("") == "4");
+}
+
+BOOST_AUTO_TEST_CASE(stream_of_an_unreachable_target_moves_within_the_pause_goal)
+{
+    relay_fixture fixture;
+    fixture.submit(1);
+    fixture.stream_to(3);
+    fixture.targets_answer = false;
+    fixture.advance(400ms);
+    BOOST_TEST(closed(fixture) == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(a_run_that_may_be_in_the_queue_or_is_too_new_for_the_report_is_not_lost)
 {
     const relay::progress_silence_policy policy;
@@ -92,10 +121,19 @@
     BOOST_TEST((policy.explain(evidence_of({})) == silence_cause::slow_target));
 }
 
+// Guards against a second run of a stream whose events follow the late report of a paused target.
+BOOST_AUTO_TEST_CASE(a_target_that_answers_late_may_still_send_what_it_has_made)
+{
+    const relay::progress_silence_policy policy;
+    const run_progress ahead{run_listing::present, 9};
+    BOOST_TEST((policy.explain(evidence_of(ahead)) == silence_cause::lost_channel));
+    BOOST_TEST((policy.explain(evidence_of(ahead, 0, 5s, 600ms)) == silence_cause::slow_target));
+}
+
 BOOST_AUTO_TEST_CASE(a_run_of_another_incarnation_is_lost)
 {
     const relay::progress_silence_policy policy;
-    const relay::silence_evidence evidence{3, 100ms, true, 1, {}};
+    const relay::silence_evidence evidence{3, 100ms, true, 1, {}, 1ms};
     BOOST_TEST((policy.explain(evidence) == silence_cause::lost_channel));
     BOOST_TEST((relay::trusting_silence_policy{}.explain(evidence) == silence_cause::slow_target));
 }
@@ -105,8 +143,9 @@
                std::uint16_t age_ms))
 {
     const std::uint64_t made = received - std::min(received, missing);
-    const relay::silence_evidence evidence{received, std::chrono::milliseconds{age_ms}, false,
-                                           waiting, run_progress{run_listing::present, made}};
+    const relay::silence_evidence evidence{
+        received, std::chrono::milliseconds{age_ms},        false,
+        waiting,  run_progress{run_listing::present, made}, 1ms};
     RC_ASSERT(relay::progress_silence_policy{}.explain(evidence) == silence_cause::slow_target);
 }
 
--- a/tests/relay/test_fixture.hpp
+++ b/tests/relay/test_fixture.hpp
@@ -225,6 +225,8 @@
     bool entry_busy = false;
     /// Whether targets answer load queries, and those that never do.
     bool targets_answer = true;
+    /// Whether the machines of targets accept connections although the targets answer nothing.
+    bool targets_reachable = false;
     std::set<std::string> unresponsive_targets;
     std::map<std::string, relay::reported_load> loads;
     /// What targets report of a run; nothing if empty.
@@ -242,11 +244,11 @@
         for (; entry_reports_due_ > 0; --entry_reports_due_) {
             manager_.handle(relay::entry_state{entry_busy}, clock_.now());
         }
-        while (targets_answer && answered_ < to_targets.size()) {
+        while ((targets_answer || targets_reachable) && answered_ < to_targets.size()) {
             const auto* checked = std::get_if<relay::check_target>(to_targets[answered_].get());
             const auto* asked = std::get_if<relay::ask_target>(to_targets[answered_].get());
             ++answered_;
-            if (checked != nullptr) {
+            if (checked != nullptr && targets_answer) {
                 const bool ended = ended_targets.contains(checked->target.name.str());
                 manager_.handle(relay::target_checked{checked->target,
                                                       relay::target_contact{
@@ -254,7 +256,11 @@
                                                                 : relay::contact_result::answered}},
                                 clock_.now());
             }
-            if (asked != nullptr && !unresponsive_targets.contains(asked->target.str())) {
+            if (asked != nullptr && targets_reachable && !asked->run.empty()) {
+                manager_.handle(relay::target_reached{asked->request, asked->target}, clock_.now());
+            }
+            if (asked != nullptr && targets_answer &&
+                !unresponsive_targets.contains(asked->target.str())) {
                 const auto load = loads.find(asked->target.str());
                 manager_.handle(
                     relay::target_answered{asked->request, asked->target,
