relay: a run that has made no event isn't missed in a report

Cause: engines list a run from its first event on, and a prompt that is being read is in no queue either; its absence was taken for a lost run. Evidence: target_alive shows run=absent waiting=0 last_event=none for them. A request without an event is taken for lost only if the target has made some.

--- a/src/relay/relayed_request.cpp
+++ b/src/relay/relayed_request.cpp
@@ -166,8 +166,10 @@
     if (!answer.load.has_value()) {
         return request_event::target_mute;
     }
-    const silence_evidence evidence{core::parse_number<std::uint64_t>(last_event_.value_or("")),
-                                    now_ - attempt_opened_at_,
+    const silence_evidence evidence{core::parse_number<std::uint64_t>(last_event_.value_or("0")),
+                                    attempt_first_event_at_.has_value()
+                                        ? std::optional{now_ - *attempt_first_event_at_}
+                                        : std::nullopt,
                                     is_new_incarnation(placed_->get().target, *answer.load),
                                     answer.load->waiting,
                                     answer.progress,
@@ -441,6 +443,7 @@
 {
     if (!attempt_has_events_) {
         attempt_has_events_ = true;
+        attempt_first_event_at_ = now_;
         report_outcome(false);
         host_.on_first_event(placed_->get().target.name, plan_.submitted.prompt_tokens);
         host_.on_success(placed_->get().target.name);
--- a/src/relay/relayed_request.hpp
+++ b/src/relay/relayed_request.hpp
@@ -222,6 +222,7 @@
     bool may_have_run_ = false;
     bool attempt_sent_ = false;
     bool attempt_has_events_ = false;
+    std::optional<core::instant> attempt_first_event_at_;
     /// When the target of the current attempt began to answer.
     std::optional<core::instant> begun_at_;
     bool survived_ = false;
--- a/src/relay/relayed_request_placement.cpp
+++ b/src/relay/relayed_request_placement.cpp
@@ -174,6 +174,7 @@
 {
     attempt_ = attempt_.next();
     attempt_has_events_ = false;
+    attempt_first_event_at_.reset();
     begun_at_.reset();
     attempt_opened_at_ = now_;
     outcome_reported_ = false;
--- a/src/relay/silence_policy.cpp
+++ b/src/relay/silence_policy.cpp
@@ -27,7 +27,7 @@
         break;
     case run_listing::absent:
         // The report doesn't name the requests in the queue.
-        is_lost = evidence.waiting == 0 && evidence.attempt_age > max_report_age;
+        is_lost = evidence.waiting == 0 && evidence.time_since_first > max_report_age;
         break;
     case run_listing::present:
         is_lost =
--- a/src/relay/silence_policy.hpp
+++ b/src/relay/silence_policy.hpp
@@ -12,10 +12,12 @@
 /// What is known of an attempt that receives nothing, although its target answers over a new
 /// connection.
 struct silence_evidence {
-    /// Number of the last event that was received, empty if there is none or its id is no number.
+    /// Number of the last event that was received, 0 if there is none; empty if its id is no
+    /// number.
     const std::optional<std::uint64_t> last_event;
-    /// Time since the attempt was opened.
-    const core::duration attempt_age;
+    /// Time since the first event of the attempt, empty if none has arrived. Targets list the runs
+    /// that have made one.
+    const std::optional<core::duration> time_since_first;
     /// Another incarnation of the target answers than the one that received the attempt.
     const bool is_new_incarnation;
     /// Requests in the target's queue, where a preempted run may be.
--- a/tests/relay/silence_test.cpp
+++ b/tests/relay/silence_test.cpp
@@ -18,7 +18,8 @@
 constexpr core::duration question_limit = 105ms;
 
 relay::silence_evidence evidence_of(const run_progress& progress, std::uint32_t waiting = 0,
-                                    core::duration age = 5s, core::duration answer_delay = 1ms)
+                                    std::optional<core::duration> age = 5s,
+                                    core::duration answer_delay = 1ms)
 {
     return relay::silence_evidence{3, age, false, waiting, progress, answer_delay};
 }
@@ -61,6 +62,27 @@
     BOOST_TEST(fixture.last_attempt().last_event.value_or("") == "12");
 }
 
+// Guards against requests that are taken from engine to engine while their prompts are read.
+BOOST_AUTO_TEST_CASE(request_without_an_event_yet_stays_though_its_target_lists_no_run)
+{
+    relay_fixture fixture;
+    fixture.submit(1);
+    fixture.progress = [](const relay::ask_target&) { return run_progress{run_listing::absent}; };
+    fixture.advance(5s);
+    BOOST_TEST(closed(fixture) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(request_without_an_event_goes_on_elsewhere_if_its_target_has_made_some)
+{
+    relay_fixture fixture;
+    fixture.submit(1);
+    fixture.progress = [](const relay::ask_target&) {
+        return run_progress{run_listing::present, 2};
+    };
+    fixture.advance(2s);
+    BOOST_TEST(closed(fixture) >= 1U);
+}
+
 BOOST_AUTO_TEST_CASE(stream_of_a_slow_target_stays_there)
 {
     relay_fixture fixture;
@@ -119,6 +141,9 @@
     BOOST_TEST((policy.explain(evidence_of(absent, 1)) == silence_cause::slow_target));
     BOOST_TEST((policy.explain(evidence_of(absent, 0, 1s)) == silence_cause::slow_target));
     BOOST_TEST((policy.explain(evidence_of({})) == silence_cause::slow_target));
+    // Its prompt may still be read: a target lists the runs that have made an event.
+    BOOST_TEST(
+        (policy.explain(evidence_of(absent, 0, std::nullopt)) == silence_cause::slow_target));
 }
 
 // Guards against a second run of a stream whose events follow the late report of a paused target.
