http: requests with other transfer codings than chunked are rejected

Cause: Beast's parser takes a request without the last coding chunked and without a length for one without a body. Why it works: the reader of both fronts joins the codings of all fields and reads only a single chunked; the server answers 400 or 501, closes the connection and reads nothing that follows.

--- a/src/http/message_reader.cpp
+++ b/src/http/message_reader.cpp
@@ -5,6 +5,8 @@
 #include <limits>
 #include <vector>
 
+#include <absl/strings/ascii.h>
+#include <absl/strings/str_split.h>
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/basic_parser.hpp>
 #include <boost/beast/http/error.hpp>
@@ -22,8 +24,12 @@
 constexpr int status_bad_request = 400;
 constexpr int status_too_large = 413;
 constexpr int status_head_too_large = 431;
+constexpr int status_not_implemented = 501;
 constexpr int first_final_status = 200;
 
+/// HTTP/1.1, as ten times the major plus the minor version.
+constexpr int first_chunked_version = 11;
+
 /// Maximum size of the start line and headers of a response, in bytes.
 constexpr std::uint32_t max_response_head_bytes = 64 * 1024;
 
@@ -47,6 +53,38 @@
     return {text.data(), text.size()};
 }
 
+/// @return the transfer codings of a message in the order in which they were applied, in lower case
+std::vector<std::string> transfer_codings(const std::vector<header>& headers)
+{
+    std::vector<std::string> codings;
+    for (const header& field : headers) {
+        if (field.name != "transfer-encoding") {
+            continue;
+        }
+        for (const absl::string_view each : absl::StrSplit(field.value, ',')) {
+            codings.push_back(absl::AsciiStrToLower(absl::StripAsciiWhitespace(each)));
+        }
+    }
+    return codings;
+}
+
+/// @return 0 if the end of a request's body is known from its transfer codings, otherwise the HTTP
+///         status to reject it with
+int coding_error(const std::vector<header>& headers, int version)
+{
+    const std::vector<std::string> codings = transfer_codings(headers);
+    if (codings.empty()) {
+        return 0;
+    }
+    const auto is_chunked = [](const std::string& coding) { return coding == "chunked"; };
+    const bool ends_with_chunks = is_chunked(codings.back()) &&
+                                  std::count_if(codings.begin(), codings.end(), is_chunked) == 1;
+    if (!ends_with_chunks || version < first_chunked_version) {
+        return status_bad_request;
+    }
+    return codings.size() == 1 ? 0 : status_not_implemented;
+}
+
 } // namespace
 
 namespace detail {
@@ -163,6 +201,10 @@
     if (parser_->error) {
         return status_bad_request;
     }
+    if (const int status = coding_error(parser_->headers, parser_->version);
+        status != 0 && parser_->has_head) {
+        return status;
+    }
     // With two host headers, two parsers of the same request could disagree about its route.
     const auto hosts = std::count_if(parser_->headers.begin(), parser_->headers.end(),
                                      [](const header& field) { return field.name == "host"; });
@@ -181,7 +223,6 @@
 
 bool request_reader::accepts_chunked() const
 {
-    constexpr int first_chunked_version = 11;
     return parser_->version >= first_chunked_version;
 }
 
--- a/tests/http/message_reader_test.cpp
+++ b/tests/http/message_reader_test.cpp
@@ -1,5 +1,6 @@
 #include "http/message_reader.hpp"
 
+#include <absl/strings/ascii.h>
 #include <boost/test/unit_test.hpp>
 #include <fmt/format.h>
 
@@ -169,6 +170,50 @@
     BOOST_TEST(error_status_of("GET / HTTP/1.1\r\nhost: a\r\n\r\n") == 0);
 }
 
+// Guards against a request whose body would be taken for the next request.
+BOOST_AUTO_TEST_CASE(requests_whose_last_transfer_coding_is_not_chunked_are_rejected)
+{
+    constexpr int bad_request = 400;
+    constexpr int not_implemented = 501;
+    const auto status_of = [](const std::string& fields) {
+        return error_status_of("POST / HTTP/1.1\r\nhost: a\r\n" + fields + "\r\n");
+    };
+    BOOST_TEST(status_of("transfer-encoding: xchunked\r\n") == bad_request);
+    BOOST_TEST(status_of("transfer-encoding: chunked, gzip\r\n") == bad_request);
+    BOOST_TEST(status_of("transfer-encoding: chunked\r\ntransfer-encoding: identity\r\n") ==
+               bad_request);
+    BOOST_TEST(status_of("transfer-encoding: \r\n") == bad_request);
+    BOOST_TEST(status_of("transfer-encoding: chunked, chunked\r\n") == bad_request);
+    BOOST_TEST(status_of("transfer-encoding: gzip, chunked\r\n") == not_implemented);
+    BOOST_TEST(status_of("transfer-encoding: Chunked\r\n") == 0);
+    BOOST_TEST(error_status_of("POST / HTTP/1.0\r\nhost: a\r\ntransfer-encoding: "
+                               "chunked\r\n\r\n0\r\n\r\n") == bad_request);
+}
+
+RC_BOOST_PROP(a_request_is_read_only_if_chunked_is_its_one_transfer_coding, ())
+{
+    const auto codings = *rc::gen::nonEmpty(rc::gen::container<std::vector<std::string>>(
+        rc::gen::element<std::string>("chunked", "CHUNKED", " chunked ", "gzip", "identity",
+                                      "xchunked", "chunked;q=1", "", "\tchunked")));
+    std::string fields;
+    for (const std::string& each : codings) {
+        // In a list of the field before, or in a field of its own.
+        fields += !fields.empty() && *rc::gen::arbitrary<bool>()
+                      ? "," + each
+                      : (fields.empty() ? "" : "\r\n") + std::string{"transfer-encoding:"} + each;
+    }
+    const std::string length = *rc::gen::element<std::string>("", "\r\ncontent-length: 5");
+    http::request_reader reader{http::message_limits{}};
+    const std::string bytes = "POST /first HTTP/1.1\r\nhost: a\r\n" + fields + length +
+                              "\r\n\r\n0\r\n\r\nGET /second HTTP/1.1\r\nhost: a\r\n\r\n";
+    reader.feed(bytes);
+    const bool is_chunked =
+        codings.size() == 1 &&
+        absl::AsciiStrToLower(absl::StripAsciiWhitespace(codings.front())) == "chunked";
+    RC_ASSERT((reader.error_status() == 0) == (is_chunked && length.empty()));
+    RC_ASSERT(reader.error_status() != 0 || reader.is_complete());
+}
+
 BOOST_AUTO_TEST_CASE(requests_over_the_size_limits_are_rejected)
 {
     constexpr int too_large = 413;
