soak: runners and connections that fall silent

Every stream must end whole, and no request may run at two runners for more than 0.4 s. Kinds and plan are apart from the others, so that seeds keep their faults.

--- a/src/cli/command_line.cpp
+++ b/src/cli/command_line.cpp
@@ -40,7 +40,7 @@
   cyclamencourse demo [--keep]
   cyclamencourse load --config FILE
   cyclamencourse experiment FILE
-  cyclamencourse soak [--seed N] [--seeds COUNT] [--seconds S] [--crashes] [--keep]
+  cyclamencourse soak [--seed N] [--seeds COUNT] [--seconds S] [--crashes | --silences] [--keep]
   cyclamencourse apply FILES... --at ADDR --token-file FILE [--expect REV] [--dry-run]
   cyclamencourse get --at ADDR --token-file FILE
   cyclamencourse diff FILES... --at ADDR --token-file FILE
@@ -82,6 +82,7 @@
   --seed N       First seed of a soak [default: 1].
   --seeds COUNT  Number of seeds [default: 1].
   --crashes      Some requests of a soak crash the runners that run them.
+  --silences     Runners and connections fall silent, and there are no other faults.
   --seconds S    Duration of the traffic of each soak [default: 20].
 
 Exit status: 0 success, 1 failure, 2 invalid command line or file.
@@ -139,8 +140,11 @@
         std::cerr << "error: --seeds and --seconds must be positive numbers\n";
         return exit_usage;
     }
-    return soak("/proc/self/exe", number("--seed"), count, seconds,
-                arguments.at("--crashes").asBool(), arguments.at("--keep").asBool());
+    const soak_variant variant = arguments.at("--crashes").asBool()    ? soak_variant::crashes
+                                 : arguments.at("--silences").asBool() ? soak_variant::silences
+                                                                       : soak_variant::mixed;
+    return soak("/proc/self/exe", number("--seed"), count, seconds, variant,
+                arguments.at("--keep").asBool());
 }
 
 int dispatch(const argument_map& arguments)
--- a/src/cli/soak_command.cpp
+++ b/src/cli/soak_command.cpp
@@ -29,7 +29,7 @@
 } // namespace
 
 int soak(const std::string& program, std::uint64_t first_seed, std::uint64_t count,
-         std::uint64_t seconds, bool crashes, bool keep)
+         std::uint64_t seconds, soak_variant variant, bool keep)
 {
     core::set_log_level(core::log_level::error);
     bool violated = false;
@@ -49,7 +49,8 @@
                                                .program = program,
                                                .folder = folder.string(),
                                                .length = std::chrono::seconds{seconds},
-                                               .crashes = crashes});
+                                               .crashes = variant == soak_variant::crashes,
+                                               .silences = variant == soak_variant::silences});
         if (!result.ok()) {
             return fail(result.status(), exit_failure);
         }
--- a/src/soak/fault_effects.cpp
+++ b/src/soak/fault_effects.cpp
@@ -44,7 +44,9 @@
         {fault_kind::runner_cutting, runner_fault::cutting},
         {fault_kind::runner_mixing, runner_fault::mixing},
         {fault_kind::runner_garbling, runner_fault::garbling},
-        {fault_kind::runner_ambiguous, runner_fault::ambiguous}};
+        {fault_kind::runner_ambiguous, runner_fault::ambiguous},
+        {fault_kind::runner_channels_silent, runner_fault::channels_silent},
+        {fault_kind::runner_paused, runner_fault::paused}};
     return faults.at(kind);
 }
 
--- a/src/soak/fault_plan.cpp
+++ b/src/soak/fault_plan.cpp
@@ -22,6 +22,9 @@
 /// Distinguishes the stream of the restores from the one of the other faults.
 constexpr std::uint64_t restore_stream = 0x9e3779b97f4a7c15;
 
+/// Longest time for which the process of a sound runner may be paused.
+constexpr core::duration max_runner_pause = std::chrono::seconds{1};
+
 /// Random whole numbers of one stream.
 class number_stream {
   public:
@@ -77,15 +80,38 @@
 
 std::string_view to_text(fault_kind kind)
 {
-    constexpr std::array<std::string_view, fault_kind_count> names{
-        "instance_killed", "instance_paused", "instance_stopped", "instance_reloaded",
-        "store_delayed",   "store_reset",     "store_cut",        "store_one_way",
-        "runner_delayed",  "runner_reset",    "runner_cut",       "runner_one_way",
-        "store_silent",    "store_down",      "store_busy",       "store_losing",
-        "store_slow",      "history_dropped", "runner_killed",    "runner_dark",
-        "runner_leaving",  "runner_shedding", "runner_failing",   "runner_losing",
-        "runner_cutting",  "runner_mixing",   "runner_garbling",  "runner_ambiguous",
-        "configured",      "store_restored"};
+    constexpr std::array<std::string_view, fault_kind_count> names{"instance_killed",
+                                                                   "instance_paused",
+                                                                   "instance_stopped",
+                                                                   "instance_reloaded",
+                                                                   "store_delayed",
+                                                                   "store_reset",
+                                                                   "store_cut",
+                                                                   "store_one_way",
+                                                                   "runner_delayed",
+                                                                   "runner_reset",
+                                                                   "runner_cut",
+                                                                   "runner_one_way",
+                                                                   "store_silent",
+                                                                   "store_down",
+                                                                   "store_busy",
+                                                                   "store_losing",
+                                                                   "store_slow",
+                                                                   "history_dropped",
+                                                                   "runner_killed",
+                                                                   "runner_dark",
+                                                                   "runner_leaving",
+                                                                   "runner_shedding",
+                                                                   "runner_failing",
+                                                                   "runner_losing",
+                                                                   "runner_cutting",
+                                                                   "runner_mixing",
+                                                                   "runner_garbling",
+                                                                   "runner_ambiguous",
+                                                                   "configured",
+                                                                   "store_restored",
+                                                                   "runner_channels_silent",
+                                                                   "runner_paused"};
     return names.at(static_cast<std::size_t>(kind));
 }
 
@@ -101,4 +127,23 @@
     return plan;
 }
 
+std::vector<planned_fault> plan_silences(std::uint64_t seed, core::duration length)
+{
+    constexpr std::array kinds{fault_kind::runner_channels_silent, fault_kind::runner_paused,
+                               fault_kind::runner_paused, fault_kind::configured,
+                               fault_kind::instance_reloaded};
+    const core::duration end = length - fault_free_end;
+    number_stream random{seed};
+    std::vector<planned_fault> plan;
+    core::duration at = std::chrono::milliseconds{random.draw(0, max_pause_ms)};
+    while (at < end) {
+        const fault_kind kind = kinds.at(random.draw() % kinds.size());
+        const auto subject = static_cast<std::uint32_t>(random.draw());
+        const core::duration drawn = random.draw_length(end - at);
+        plan.push_back(planned_fault{at, kind, subject, std::min(drawn, max_runner_pause)});
+        at += std::chrono::milliseconds{random.draw(0, max_pause_ms)};
+    }
+    return plan;
+}
+
 } // namespace cyclamen::soak
--- a/src/soak/fault_plan.hpp
+++ b/src/soak/fault_plan.hpp
@@ -48,11 +48,15 @@
     configured,
     /// The store is away for the length of the fault and comes back from a copy.
     store_restored,
+    /// The open connections of a runner carry no more answers; new ones work.
+    runner_channels_silent,
+    /// A runner reads and sends nothing for at most a second, and its runs go on.
+    runner_paused,
 };
 
 /// Number of fault kinds.
 inline constexpr std::uint32_t fault_kind_count =
-    static_cast<std::uint32_t>(fault_kind::store_restored) + 1;
+    static_cast<std::uint32_t>(fault_kind::runner_paused) + 1;
 
 /// @return the name of a fault kind, for reports
 [[nodiscard]] std::string_view to_text(fault_kind kind);
@@ -75,4 +79,11 @@
 /// @return faults in the order of their start; they may overlap
 [[nodiscard]] std::vector<planned_fault> plan_faults(std::uint64_t seed, core::duration length);
 
+/// Plans runners and connections that fall silent beside changes of the configuration, and nothing
+/// else, so that every stream must end whole.
+/// @param seed seed of the random generator; the same seed gives the same plan
+/// @param length length of the traffic; all faults end at least 3 s before its end
+/// @return faults in the order of their start; they may overlap
+[[nodiscard]] std::vector<planned_fault> plan_silences(std::uint64_t seed, core::duration length);
+
 } // namespace cyclamen::soak
--- a/src/soak/soak.cpp
+++ b/src/soak/soak.cpp
@@ -103,7 +103,9 @@
     /// Runs the fault plan under traffic.
     soak_result run()
     {
-        const std::vector<planned_fault> plan = plan_faults(settings_.seed, settings_.length);
+        const std::vector<planned_fault> plan =
+            settings_.silences ? plan_silences(settings_.seed, settings_.length)
+                               : plan_faults(settings_.seed, settings_.length);
         loop_.open();
         const core::instant begin = loop_.now() + startup_time;
         schedule(begin, [this] { update_callers(true); });
@@ -134,6 +136,7 @@
     std::vector<proxied_instance> instances_;
     std::unique_ptr<caller_task> callers_;
     std::vector<disturbance> disturbances_;
+    std::vector<disturbance> pauses_;
     std::vector<std::string> violations_;
     std::uint64_t revision_ = 0;
     bool sending_allowed_ = false;
@@ -350,6 +353,14 @@
             configure();
             update_callers(sending_allowed_);
             return core::duration::zero();
+        case fault_kind::runner_paused:
+            // No disturbance: a sound runner may be silent for a moment.
+            set_runner_fault_until(runner, runner_fault::paused, end);
+            pauses_.push_back(disturbance{loop_.now(), end});
+            return core::duration::zero();
+        case fault_kind::runner_channels_silent:
+            set_runner_fault_until(runner, runner_fault::channels_silent, end);
+            return core::duration::zero();
         case fault_kind::runner_leaving:
             // Stays 3 s longer than the fault, and so longer than requests may still be sent to it.
             set_runner_fault_until(runner, runner_fault::leaving, end + std::chrono::seconds{3});
@@ -422,9 +433,9 @@
             reports.push_back(*std::move(report));
         }
         const std::size_t count = calls.size();
-        std::vector<std::string> found =
-            find_violations(observations{std::move(calls), std::move(reports), disturbances_},
-                            guarantee_settings{});
+        std::vector<std::string> found = find_violations(
+            observations{std::move(calls), std::move(reports), disturbances_, pauses_},
+            guarantee_settings{.completes_streams = settings_.silences});
         found.insert(found.end(), violations_.begin(), violations_.end());
         return soak_result{plan, count, std::move(statuses), std::move(found)};
     }
--- a/src/soak/soak.hpp
+++ b/src/soak/soak.hpp
@@ -27,6 +27,8 @@
     /// Some requests crash the runners that run them. Runners then have no proxies in front, which
     /// would accept connections for a runner that has ended.
     const bool crashes = false;
+    /// Runners and their connections fall silent, and there are no other faults.
+    const bool silences = false;
 
     auto operator<=>(const soak_settings&) const = default;
 };
--- a/src/soak/verdict.cpp
+++ b/src/soak/verdict.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 
 #include "core/text.hpp"
 #include "relay/crash_evidence.hpp"
@@ -43,7 +44,9 @@
             check_answer(call);
             check_runs(call);
             check_cancel(call);
+            check_end(call);
         }
+        check_second_runs();
         check_crashes();
         check_drain();
         check_configuration();
@@ -70,6 +73,13 @@
                             });
     }
 
+    [[nodiscard]] bool was_paused(core::instant from, core::instant to) const
+    {
+        return std::any_of(
+            observations_.pauses.begin(), observations_.pauses.end(),
+            [&](const disturbance& each) { return each.from <= to && each.to >= from; });
+    }
+
     void check_answer(const call_record& call)
     {
         if (!is_success(call.status) || call.kind == call_kind::probe) {
@@ -140,7 +150,8 @@
     void check_cancel(const call_record& call)
     {
         const core::instant deadline = call.ended_at + guarantees_.cancel_limit;
-        if (!call.abandoned || !is_undisturbed(call.sent_at, deadline)) {
+        if (!call.abandoned || !is_undisturbed(call.sent_at, deadline) ||
+            was_paused(call.sent_at, deadline)) {
             return;
         }
         const auto found = reports_.find(call.id);
@@ -158,6 +169,64 @@
         }
     }
 
+    void check_end(const call_record& call)
+    {
+        if (guarantees_.completes_streams && call.kind == call_kind::stream &&
+            is_success(call.status) && !call.complete && !call.abandoned) {
+            add_violation("stream was cut: ", call.id);
+        }
+    }
+
+    /// A run of a request, until it ended.
+    struct run_span {
+        std::string runner;
+        core::instant began;
+        core::instant ended;
+    };
+
+    [[nodiscard]] static std::vector<run_span>
+    spans_of(const std::vector<const standin::runner_report*>& reports)
+    {
+        std::vector<run_span> spans;
+        for (const standin::runner_report* report : reports) {
+            if (report->kind == report_event::began) {
+                spans.push_back(run_span{report->runner, report->at, core::instant::max()});
+                continue;
+            }
+            const auto ended =
+                std::find_if(spans.rbegin(), spans.rend(), [&](const run_span& each) {
+                    return each.runner == report->runner && each.ended == core::instant::max();
+                });
+            if (ended != spans.rend()) {
+                ended->ended = report->at;
+            }
+        }
+        return spans;
+    }
+
+    /// A request must not go on at another runner while the one before still works on it.
+    void check_second_runs()
+    {
+        std::set<std::string> abandoned;
+        for (const call_record& call : observations_.calls) {
+            if (call.abandoned) {
+                abandoned.insert(call.id);
+            }
+        }
+        for (const auto& [request, reports] : reports_) {
+            const std::vector<run_span> spans = spans_of(reports);
+            for (std::size_t next = 1; next < spans.size() && !abandoned.contains(request);
+                 ++next) {
+                const run_span& former = spans[next - 1];
+                const core::instant limit = spans[next].began + guarantees_.second_run_limit;
+                if (former.runner != spans[next].runner && former.ended > limit &&
+                    spans[next].ended > limit && is_undisturbed(former.began, limit)) {
+                    add_violation("ran at two runners at once: ", request);
+                }
+            }
+        }
+    }
+
     using deadly_kind = std::pair<std::string, call_kind>;
 
     /// @return the crashes that each kind of deadly request has caused, in the order of time
--- a/src/soak/verdict.hpp
+++ b/src/soak/verdict.hpp
@@ -34,6 +34,10 @@
     /// Time after the last of `deadly_crashes` from which on no sound request may be refused
     /// because of them.
     const core::duration confusion_time = std::chrono::seconds{6};
+    /// Time for which a request may run at two runners at once.
+    const core::duration second_run_limit = std::chrono::milliseconds{400};
+    /// Whether each stream that has begun must end whole.
+    const bool completes_streams = false;
     /// Time after a disturbance in which time limits don't apply.
     const core::duration settle_time = std::chrono::seconds{3};
 
@@ -45,6 +49,8 @@
     const std::vector<call_record> calls;
     const std::vector<standin::runner_report> reports;
     const std::vector<disturbance> disturbances;
+    /// Intervals in which a runner was paused: it hears of the end of a request only afterwards.
+    const std::vector<disturbance> pauses = {};
 
     auto operator<=>(const observations&) const = default;
 };
--- a/tests/soak/fault_plan_test.cpp
+++ b/tests/soak/fault_plan_test.cpp
@@ -23,6 +23,12 @@
             BOOST_TEST((fault.at + fault.length <= 17s));
             BOOST_TEST(!soak::to_text(fault.kind).empty());
         }
+        for (const soak::planned_fault& fault : soak::plan_silences(seed, 20s)) {
+            kinds.insert(fault.kind);
+            BOOST_TEST((fault.at + fault.length <= 17s));
+            BOOST_TEST((fault.length <= 1s));
+            BOOST_TEST(!soak::to_text(fault.kind).empty());
+        }
     }
     BOOST_TEST(kinds.size() == soak::fault_kind_count);
 }
--- a/tests/soak/verdict_test.cpp
+++ b/tests/soak/verdict_test.cpp
@@ -189,3 +189,29 @@
     // A disturbance excuses it.
     BOOST_TEST(count({quarantined_call("fatal")}, crashes, {{start + 3s, start + 3100ms}}) == 0U);
 }
+
+BOOST_AUTO_TEST_CASE(a_second_run_beside_the_first_is_detected)
+{
+    const auto at_other = [](runner_report::event kind, core::duration at) {
+        return runner_report{kind, "runner-1", "r1", "/s/x", "soaker", false, 3, start + at};
+    };
+    using enum runner_report::event;
+    const std::vector<runner_report> twice{report(began, 10ms), at_other(began, 400ms),
+                                           report(disconnected, 900ms), at_other(ended, 1200ms)};
+    const std::vector<runner_report> in_turn{report(began, 10ms), at_other(began, 400ms),
+                                             report(disconnected, 700ms), at_other(ended, 1200ms)};
+    const call_record stream =
+        call({.kind = call_kind::stream, .body = events(1, 60), .ended_at = 2s});
+    BOOST_TEST(count({stream}, twice) == 1U);
+    BOOST_TEST(count({stream}, twice, {soak::disturbance{start + 300ms, start + 500ms}}) == 0U);
+    BOOST_TEST(count({stream}, in_turn) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(a_stream_that_is_cut_is_detected_where_all_must_end_whole)
+{
+    const call_record cut =
+        call({.kind = call_kind::stream, .body = events(1, 20), .complete = false});
+    const soak::observations observed{{cut}, {}, {}};
+    BOOST_TEST(soak::find_violations(observed, {.completes_streams = true}).size() == 1U);
+    BOOST_TEST(soak::find_violations(observed, {}).empty());
+}
