soak: a refusal without a configuration shows no route

Cause: the check takes any answer but 404 for a sign that the process served the route. A process that has just started answers 503 until it has read a configuration; after a restore of the store it reads the older one and answers 404. Evidence: the line now names both requests and the status before. Why it is as strict: only that refusal no longer counts; any other 503 still shows that the route was known. The test covers both and failed before.

--- a/src/relay/relay_manager.cpp
+++ b/src/relay/relay_manager.cpp
@@ -84,7 +84,7 @@
 void relay_manager::on(const submission& submitted)
 {
     if (table_ == nullptr) {
-        refuse(submitted, core::error_kind::overloaded, "no configuration has been read yet",
+        refuse(submitted, core::error_kind::overloaded, unconfigured_problem,
                settings_.requests.retry_after);
         return;
     }
--- a/src/relay/route_table.hpp
+++ b/src/relay/route_table.hpp
@@ -14,6 +14,9 @@
 
 namespace cyclamen::relay {
 
+/// Why a request is refused before any route table is known.
+inline constexpr std::string_view unconfigured_problem = "no configuration has been read yet";
+
 /// Whether a request may be run more than once.
 enum class request_kind {
     /// May run any number of times.
--- a/src/soak/verdict.cpp
+++ b/src/soak/verdict.cpp
@@ -6,6 +6,7 @@
 
 #include "core/text.hpp"
 #include "relay/crash_evidence.hpp"
+#include "relay/route_table.hpp"
 
 namespace cyclamen::soak {
 
@@ -299,13 +300,21 @@
         }
     }
 
+    /// @return true if the answer shows that its process knew the route of the revision
+    [[nodiscard]] static bool shows_route(const call_record& probe)
+    {
+        constexpr int not_found = 404;
+        // A process that has just started knows no route.
+        return probe.status != not_found &&
+               probe.body.find(relay::unconfigured_problem) == std::string::npos;
+    }
+
     /// A process that has served the route of a revision must not answer later that the route is
     /// unknown.
     void check_configuration()
     {
         constexpr int not_found = 404;
-        std::map<std::pair<std::size_t, std::uint64_t>, std::pair<std::uint64_t, core::instant>>
-            known;
+        std::map<std::pair<std::size_t, std::uint64_t>, const call_record*> known;
         std::vector<const call_record*> probes;
         for (const call_record& call : observations_.calls) {
             if (call.kind == call_kind::probe && call.status != 0) {
@@ -319,16 +328,17 @@
         for (const call_record* probe : probes) {
             const std::pair process{probe->instance, probe->process};
             const auto found = known.find(process);
-            if (probe->status != not_found) {
-                const bool is_newer = found == known.end() || found->second.first < probe->revision;
-                if (is_newer) {
-                    known.insert_or_assign(process, std::pair{probe->revision, probe->ended_at});
+            if (shows_route(*probe)) {
+                if (found == known.end() || found->second->revision < probe->revision) {
+                    known.insert_or_assign(process, probe);
                 }
             }
-            else if (found != known.end() && probe->revision <= found->second.first &&
-                     probe->sent_at > found->second.second) {
+            else if (probe->status == not_found && found != known.end() &&
+                     probe->revision <= found->second->revision &&
+                     probe->sent_at > found->second->ended_at) {
                 add_violation("configuration reverted: instance ", probe->instance, " revision ",
-                              probe->revision, " after ", found->second.first);
+                              probe->revision, " after ", found->second->revision, ", ", probe->id,
+                              " after ", found->second->id, " with status ", found->second->status);
             }
         }
     }
--- a/tests/soak/verdict_test.cpp
+++ b/tests/soak/verdict_test.cpp
@@ -6,6 +6,7 @@
 
 #include "core/text.hpp"
 #include "relay/crash_evidence.hpp"
+#include "relay/route_table.hpp"
 
 using namespace cyclamen;
 using namespace std::chrono_literals;
@@ -151,7 +152,8 @@
 
 BOOST_AUTO_TEST_CASE(process_must_not_revert_to_an_older_revision)
 {
-    const auto probe = [](std::uint64_t revision, int status, core::duration ended_at) {
+    const auto probe = [](std::uint64_t revision, int status, core::duration ended_at,
+                          std::string body = {}) {
         call_record template_call = call({.kind = call_kind::probe,
                                           .status = status,
                                           .revision = revision,
@@ -161,8 +163,13 @@
             template_call.instance,   template_call.process,   template_call.revision,
             template_call.last_event, start + ended_at - 10ms, template_call.ended_at,
             template_call.status,     template_call.answer_id, template_call.seal,
-            template_call.body,       template_call.complete,  template_call.abandoned};
+            std::move(body),          template_call.complete,  template_call.abandoned};
     };
+    // A process that has just started serves no route yet; a refusal for another reason shows that
+    // it knew the route.
+    const std::string unconfigured{relay::unconfigured_problem};
+    BOOST_TEST(count({probe(2, 503, 50ms, unconfigured), probe(2, 404, 100ms)}, {}) == 0U);
+    BOOST_TEST(count({probe(2, 503, 50ms), probe(2, 404, 100ms)}, {}) == 1U);
     BOOST_TEST(count({probe(2, 404, 50ms), probe(2, 200, 100ms)}, {}) == 0U);
     BOOST_TEST(count({probe(2, 200, 100ms), probe(3, 404, 200ms)}, {}) == 0U);
     BOOST_TEST(count({probe(2, 200, 100ms), probe(2, 404, 200ms)}, {}) == 1U);
