--- a/src/soak/verdict.cpp
+++ b/src/soak/verdict.cpp
@@ -234,7 +234,10 @@
                 if (former.runner != spans[next].runner && former.ended > limit &&
                     spans[next].ended > limit && is_undisturbed(former.began, limit) &&
                     !missed_end(former.runner, spans[next].began)) {
-                    add_violation("ran at two runners at once: ", request);
+                    add_violation("ran at two runners at once: ", request, ", at ", former.runner,
+                                  " until ",
+                                  core::to_milliseconds(former.ended - spans[next].began),
+                                  " ms after its run at ", spans[next].runner, " began");
                 }
             }
         }
--- a/src/soak/verdict.hpp
+++ b/src/soak/verdict.hpp
@@ -45,8 +45,8 @@
     const core::duration confusion_time = std::chrono::seconds{6};
     /// Time for which a request may run at two runners at once.
     const core::duration second_run_limit = std::chrono::milliseconds{400};
-    /// Time that the end of a connection takes to reach a runner.
-    const core::duration close_time = std::chrono::milliseconds{50};
+    /// Time that the end of a connection takes to reach a runner through its proxy.
+    const core::duration close_time = std::chrono::milliseconds{150};
     /// Whether each stream that has begun must end whole.
     const bool completes_streams = false;
     /// Time after a disturbance in which time limits don't apply.
