http: an answer that was cut while its request was still being written is not whole

A server that answers a long upload at once, without a length, and resets the connection while the upload is being written: the failing write takes the socket's error (ECONNRESET), so the read that follows sees a plain end of input, which is the end of a response without a length. The part was reported as the whole response, to both fronts. An orderly end followed by a reset (a server that closes before it has read the request) looked whole too. The end of a connection now ends a response only if the peer has acknowledged all of the request (SIOCOUTQ, and nothing unsent); a server that has read its request is in that state whenever its FIN arrives. Responses with a length or chunks are whole by their framing however the connection ends; what was read before an abrupt end is passed on first.

A head with a status below 100 was skipped as an interim response, and what followed it on the connection taken as the answer; 600 to 999 were passed on. A status outside of 100 to 599, and 101, which no request asks for, are malformed heads now, reported before the head.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -111,15 +111,17 @@
             owner.loop_.cancel(connect_timer);
             owner.listener_.on_connected(id);
         }
-        void on_bytes() override { owner.read(id, false); }
+        void on_bytes() override { owner.read(id); }
         void on_end(close_reason end) override
         {
-            if (end == close_reason::closed) {
-                owner.read(id, true);
+            if (!connected) {
+                owner.end(id, false, refused_error());
                 return;
             }
-            owner.end(id, connected,
-                      connected ? connection_error("connection reset") : refused_error());
+            // A failed write takes the socket's error, and a read then sees an end like that of an
+            // orderly close. A server in order has received the whole request before it closes.
+            const bool orderly = end == close_reason::closed && stream->is_acknowledged();
+            owner.read_last(id, orderly);
         }
     };
 
@@ -135,13 +137,33 @@
         return found == exchanges_.end() ? nullptr : found->second.get();
     }
 
-    void read(exchange_id id, bool closed)
+    void read(exchange_id id)
     {
-        exchange* active = find(id);
-        active->stream->consume(active->reader.feed(active->stream->input()));
-        if (closed) {
-            active->reader.finish();
+        exchange& active = *find(id);
+        active.stream->consume(active.reader.feed(active.stream->input()));
+        report(id);
+    }
+
+    /// Handles the end of an established connection.
+    /// @param id the exchange
+    /// @param orderly true if the end of the connection may be that of a response
+    void read_last(exchange_id id, bool orderly)
+    {
+        exchange& active = *find(id);
+        active.stream->consume(active.reader.feed(active.stream->input()));
+        if (orderly) {
+            active.reader.finish();
+        }
+        report(id);
+        if (find(id) != nullptr) {
+            end(id, true, connection_error("connection reset"));
         }
+    }
+
+    /// Passes on what was read since the last call.
+    void report(exchange_id id)
+    {
+        exchange* active = find(id);
         if (active->reader.has_head() && !active->head_reported) {
             active->head_reported = true;
             listener_.on_head(id, active->reader.head());
--- a/src/http/message_reader.cpp
+++ b/src/http/message_reader.cpp
@@ -25,7 +25,10 @@
 constexpr int status_too_large = 413;
 constexpr int status_head_too_large = 431;
 constexpr int status_not_implemented = 501;
+constexpr int first_status = 100;
+constexpr int status_switching_protocols = 101;
 constexpr int first_final_status = 200;
+constexpr int last_status = 599;
 
 /// HTTP/1.1, as ten times the major plus the minor version.
 constexpr int first_chunked_version = 11;
@@ -68,6 +71,13 @@
     return codings;
 }
 
+/// @return true if a server may send the status to a client that asks for no other protocol. All
+///         digits are syntax, but values out of range have no meaning (RFC 9110, section 15).
+bool is_valid_status(int status)
+{
+    return status >= first_status && status <= last_status && status != status_switching_protocols;
+}
+
 /// @return 0 if the end of a request's body is known from its transfer codings, otherwise the HTTP
 ///         status to reject it with
 int coding_error(const std::vector<header>& headers, int version)
@@ -127,10 +137,13 @@
         version = minor_version;
     }
     void on_response_impl(int code, beast::string_view /*reason*/, int minor_version,
-                          beast::error_code& /*failure*/) override
+                          beast::error_code& failure) override
     {
         status = code;
         version = minor_version;
+        if (!is_valid_status(code)) {
+            failure = beast::http::error::bad_status;
+        }
     }
     void on_field_impl(beast::http::field /*known*/, beast::string_view name,
                        beast::string_view value, beast::error_code& /*failure*/) override
--- a/src/http/message_reader.hpp
+++ b/src/http/message_reader.hpp
@@ -13,7 +13,7 @@
 /// @file
 /// Readers of HTTP/1.1 messages, based on Boost.Beast's parser. Framing is checked strictly: a
 /// message with two lengths, a malformed chunk or a premature end is an error, never a shorter
-/// message.
+/// message. So is a response whose status is not between 100 and 599, or switches the protocol.
 
 namespace cyclamen::http {
 
--- a/src/http/tcp_stream.cpp
+++ b/src/http/tcp_stream.cpp
@@ -1,7 +1,9 @@
 #include "http/tcp_stream.hpp"
 
 #include <arpa/inet.h>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <cerrno>
@@ -90,6 +92,13 @@
     }
 }
 
+bool tcp_stream::is_acknowledged() const
+{
+    int unacknowledged = 0;
+    return unsent() == 0 && ::ioctl(h2o_socket_get_fd(socket_), SIOCOUTQ, &unacknowledged) == 0 &&
+           unacknowledged == 0;
+}
+
 bool tcp_stream::has_unread_bytes() const
 {
     char byte = 0;
--- a/src/http/tcp_stream.hpp
+++ b/src/http/tcp_stream.hpp
@@ -73,6 +73,9 @@
     /// @return number of bytes not yet handed to the operating system
     [[nodiscard]] std::size_t unsent() const { return state_->in_flight.size() + pending_.size(); }
 
+    /// @return true if the peer's TCP stack has acknowledged all bytes written so far
+    [[nodiscard]] bool is_acknowledged() const;
+
     /// @return true if the operating system holds bytes that were received but not read yet
     [[nodiscard]] bool has_unread_bytes() const;
 
--- a/tests/http/client_test.cpp
+++ b/tests/http/client_test.cpp
@@ -5,6 +5,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "http/buffered_client.hpp"
+#include "support/early_server.hpp"
 #include "support/raw_server.hpp"
 
 using namespace cyclamen;
@@ -29,10 +30,12 @@
     blocking_client& operator=(const blocking_client&) = delete;
 
     /// Sends a request and waits for its result.
-    absl::StatusOr<http::buffered_response> fetch(const core::socket_address& address)
+    absl::StatusOr<http::buffered_response> fetch(const core::socket_address& address,
+                                                  const http::request& sent = http::request{
+                                                      "GET", "/", {}, ""})
     {
         std::optional<absl::StatusOr<http::buffered_response>> result;
-        client_->send(address, http::request{"GET", "/", {}, ""}, 10s,
+        client_->send(address, sent, 10s,
                       [&](const absl::StatusOr<http::buffered_response>& response) {
                           result.emplace(response);
                       });
@@ -47,6 +50,14 @@
     std::unique_ptr<http::buffered_client> client_;
 };
 
+constexpr std::size_t mebibyte = 1024 * 1024;
+
+/// @return a request whose body has the size
+http::request upload(std::size_t size)
+{
+    return http::request{"POST", "/", {}, std::string(size, 'u')};
+}
+
 /// Reads a response slowly and notes the largest part of its body.
 class slow_listener final : public http::client_listener {
   public:
@@ -142,3 +153,55 @@
         BOOST_TEST(!client.fetch(resetting.address).ok());
     }
 }
+
+BOOST_AUTO_TEST_CASE(an_early_response_without_a_length_is_not_whole_if_reset)
+{
+    using test::connection_end;
+    const std::string events = "id: 1\ndata: a\n\n";
+    for (const std::string head :
+         {"HTTP/1.1 200 OK\r\nseal: 3e1b\r\n\r\n",
+          "HTTP/1.1 200 OK\r\nseal: 3e1b\r\ncontent-type: text/event-stream\r\n\r\n"}) {
+        for (const connection_end end :
+             {connection_end::reset, connection_end::half_close_and_reset,
+              connection_end::read_and_reset}) {
+            for (const auto pause : {0ms, 1ms, 20ms}) {
+                for (const std::size_t size : {mebibyte, 4 * mebibyte}) {
+                    test::early_server server{head + events, end, pause};
+                    blocking_client client;
+                    BOOST_TEST(!client.fetch(server.address, upload(size)).ok(),
+                               end << " after " << pause.count() << " ms, " << size << " bytes");
+                }
+            }
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(an_early_response_without_a_length_is_whole_if_closed_after_the_request)
+{
+    test::early_server server{"HTTP/1.1 200 OK\r\n\r\nwhole", test::connection_end::read_and_close,
+                              0ms};
+    blocking_client client;
+    const auto received = client.fetch(server.address, upload(4 * mebibyte));
+    BOOST_REQUIRE(received.ok());
+    BOOST_TEST(received->body == "whole");
+}
+
+BOOST_AUTO_TEST_CASE(an_early_response_with_a_length_is_whole_however_its_connection_ends)
+{
+    using test::connection_end;
+    for (const std::string rest : {"content-length: 5\r\n\r\nwhole",
+                                   "transfer-encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n"}) {
+        for (const connection_end end :
+             {connection_end::reset, connection_end::half_close_and_reset,
+              connection_end::half_close_and_read, connection_end::read_and_reset,
+              connection_end::read_and_close}) {
+            for (const auto pause : {0ms, 1ms, 20ms}) {
+                test::early_server server{"HTTP/1.1 200 OK\r\n" + rest, end, pause};
+                blocking_client client;
+                const auto received = client.fetch(server.address, upload(4 * mebibyte));
+                BOOST_TEST(received.ok(), end << " after " << pause.count() << " ms");
+                BOOST_TEST((!received.ok() || received->body == "whole"));
+            }
+        }
+    }
+}
--- a/tests/http/message_reader_test.cpp
+++ b/tests/http/message_reader_test.cpp
@@ -147,6 +147,33 @@
         !is_whole("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\nzz\r\nabc\r\n0\r\n\r\n"));
 }
 
+BOOST_AUTO_TEST_CASE(a_response_whose_status_is_none_of_the_protocol_is_an_error)
+{
+    const std::string whole = "HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nabc";
+    for (const std::string status : {"000", "0", "099", "99", "001", "-1", "+20", "1000", "2000",
+                                     "2OO", "", " ", "20", "600", "999", "101"}) {
+        for (const std::string rest :
+             {"\r\n\r\n", " \r\n\r\n", " Trouble\r\nseal: 3e1b\r\ncontent-length: 3\r\n\r\nabc",
+              " Trouble\r\ncontent-type: text/event-stream\r\n\r\ndata: a\n\n"}) {
+            // Neither such a status nor a response that follows it on the connection may be taken.
+            for (const std::string next : {"", whole.c_str()}) {
+                for (const std::string before : {"", "HTTP/1.1 100 Continue\r\n\r\n"}) {
+                    http::response_reader reader{false};
+                    std::string_view bytes;
+                    const std::string sent = before + "HTTP/1.1 " + status + rest + next;
+                    bytes = sent;
+                    bytes.remove_prefix(reader.feed(bytes));
+                    reader.feed(bytes);
+                    reader.finish();
+                    BOOST_TEST(!reader.has_head(), "head of '" << sent << "'");
+                    BOOST_TEST(!reader.is_complete(), "'" << sent << "'");
+                    BOOST_TEST(!reader.error().ok(), "'" << sent << "'");
+                }
+            }
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(bytes_after_a_complete_response_are_not_consumed)
 {
     http::response_reader reader{false};
