config: earlier revisions that a restored table has lost are written again

Only the revision in force was written again, so that the history lacked those before it, and a rollback to one was refused as never accepted. An instance keeps the last eight revisions that it had in force, and writes those above the restored head with the same commit. Revisions that a restored table gives out again drop the lost ones of the same numbers and above.

revisions_before_the_one_in_force_that_a_restored_table_has_lost_are_written_again fails on the code before ("revision 2" is missing).

--- a/src/config/configuration_tracker.cpp
+++ b/src/config/configuration_tracker.cpp
@@ -118,6 +118,7 @@
                          {"problem", std::string{configuration.status().message()}}});
         return;
     }
+    keep_earlier(accepted.revision);
     in_force_.set(accepted);
     // Whether this revision is the newest has not been verified yet.
     verified_at_.reset();
@@ -132,6 +133,18 @@
                                api::revision_notice{accepted.revision, accepted.era});
 }
 
+void configuration_tracker::keep_earlier(core::revision newer)
+{
+    if (const auto& succeeded = in_force_.get(); succeeded.has_value()) {
+        earlier_.emplace(succeeded->revision, *succeeded);
+    }
+    // A restored table gives lost revisions out again.
+    earlier_.erase(earlier_.lower_bound(newer), earlier_.end());
+    while (earlier_.size() > settings_.max_earlier) {
+        earlier_.erase(earlier_.begin());
+    }
+}
+
 core::instant configuration_tracker::next_deadline() const
 {
     core::instant next = next_read_at_;
@@ -234,9 +247,14 @@
                      {"era", head.era().value()}});
     const api::configuration_copy summary{lost.revision, lost.base, lost.author, lost.nonce,
                                           lost.accepted, {},        lost.era};
-    host_.commit({api::row_write{head_row(), codec_.encode(summary), head},
-                  api::row_write{revision_row(lost.revision), codec_.encode(lost), std::nullopt}},
-                 now);
+    std::vector<api::row_write> writes{
+        api::row_write{head_row(), codec_.encode(summary), head},
+        api::row_write{revision_row(lost.revision), codec_.encode(lost), std::nullopt}};
+    for (auto each = earlier_.upper_bound(head_revision); each != earlier_.end(); ++each) {
+        writes.push_back(
+            api::row_write{revision_row(each->first), codec_.encode(each->second), std::nullopt});
+    }
+    host_.commit(std::move(writes), now);
 }
 
 void configuration_tracker::handle_revision_row(const std::vector<api::row>& rows,
--- a/src/config/configuration_tracker.hpp
+++ b/src/config/configuration_tracker.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -129,6 +130,8 @@
     const revision_codec& codec_;
     tracker_host& host_;
     core::cell<std::optional<api::configuration_copy>> in_force_{std::nullopt};
+    /// The revisions before it that were in force here.
+    std::map<core::revision, api::configuration_copy> earlier_;
     /// Last instant as of which the revision in force is known to be the newest.
     std::optional<core::instant> verified_at_;
     core::cell<std::optional<pending_read>> pending_read_{std::nullopt};
@@ -146,6 +149,8 @@
                          core::instant now);
     void handle_revision_row(const std::vector<api::row>& rows, core::revision revision,
                              core::instant sent, core::instant now);
+    /// Keeps the revision in force, which a newer one succeeds.
+    void keep_earlier(core::revision newer);
     void write_again(api::row_version head, core::revision head_revision, const pending_read& read,
                      core::instant now);
     void release_hold(core::instant now);
--- a/src/config/tracker_settings.hpp
+++ b/src/config/tracker_settings.hpp
@@ -27,6 +27,9 @@
     const core::duration hold_limit = std::chrono::seconds{2};
     /// Number of peers that are notified of a new revision or asked for the newest one.
     const std::size_t fan_out = 4;
+    /// Number of earlier revisions that an instance keeps, so that it can write them again to a
+    /// table that has lost them.
+    const std::size_t max_earlier = 8;
 
     auto operator<=>(const tracker_settings&) const = default;
 };
--- a/tests/config/configuration_tracker_test.cpp
+++ b/tests/config/configuration_tracker_test.cpp
@@ -299,6 +299,49 @@
     BOOST_TEST(fleet.table.rows.contains(config::revision_row(core::revision{1})));
 }
 
+BOOST_AUTO_TEST_CASE(
+    revisions_before_the_one_in_force_that_a_restored_table_has_lost_are_written_again)
+{
+    simulated_cluster fleet{5, 10};
+    fleet.store_revision(1, "one");
+    BOOST_REQUIRE(fleet.reaches_all_in(core::revision{1}, spread_limit));
+    const auto earlier = fleet.table.rows;
+    for (const auto& [revision, declarations] :
+         std::map<std::uint64_t, std::string>{{2, "two"}, {3, "three"}, {4, "four"}}) {
+        fleet.store_revision(revision, declarations);
+        BOOST_REQUIRE(fleet.reaches_all_in(core::revision{revision}, spread_limit));
+    }
+    fleet.table.restore(earlier);
+    fleet.run(seconds{12});
+    BOOST_TEST(fleet.all_have("four"));
+    for (const auto& [revision, declarations] :
+         std::map<std::uint64_t, std::string>{{1, "one"}, {2, "two"}, {3, "three"}, {4, "four"}}) {
+        const auto row = fleet.table.rows.find(config::revision_row(core::revision{revision}));
+        BOOST_REQUIRE_MESSAGE(row != fleet.table.rows.end(), "revision " << revision);
+        BOOST_TEST(fleet.codec.decode(row->second.first)->declarations == declarations);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(lost_revisions_that_were_given_out_again_are_not_written_again)
+{
+    simulated_cluster fleet{5, 11};
+    fleet.store_revision(1, "one");
+    BOOST_REQUIRE(fleet.reaches_all_in(core::revision{1}, spread_limit));
+    const auto earlier = fleet.table.rows;
+    for (const std::uint64_t revision : {2, 3}) {
+        fleet.store_revision(revision, "lost");
+        BOOST_REQUIRE(fleet.reaches_all_in(core::revision{revision}, spread_limit));
+    }
+    fleet.table.restore(earlier);
+    fleet.store_revision(2, "later");
+    fleet.run(spread_limit);
+    BOOST_REQUIRE(fleet.all_have("later"));
+    fleet.table.restore(earlier);
+    fleet.run(seconds{12});
+    BOOST_TEST(fleet.all_have("later"));
+    BOOST_TEST(!fleet.table.rows.contains(config::revision_row(core::revision{3})));
+}
+
 BOOST_AUTO_TEST_CASE(a_revision_that_is_given_out_again_replaces_the_lost_one_everywhere)
 {
     simulated_cluster fleet{5, 8};
