relay, replica: placement by the pace of targets, and exchange of what instances observe

Cause: the placement weighs tokens and counts but not the speed of the target, and the admission uses one reading rate for a service. One instance sees an engine too seldom to learn its speed alone.

Change: requests report how long engines read prompts, how long events take and how long plain targets answer. Instances send observations with their queries to the reader of the tables, which merges them and hands changes on with its answers. The extension field is ignored by instances that don't know it.

--- a/src/limits/engine_load.hpp
+++ b/src/limits/engine_load.hpp
@@ -19,6 +19,8 @@
     const std::uint64_t memory_total;
     /// Number of requests that the engine runs at the same time, 0 if unknown.
     const std::uint32_t slots;
+    /// Expected time factor of the engine, 1 = usual for its service.
+    const double pace = 1.0;
 
     auto operator<=>(const engine_load&) const = default;
 };
--- a/src/limits/on_time_start.cpp
+++ b/src/limits/on_time_start.cpp
@@ -41,7 +41,7 @@
                                    : static_cast<double>(request.prompt_tokens);
     const double unread =
         std::max(static_cast<double>(load.unread_tokens), load.waiting * mean_prompt);
-    return unread * seconds_per_prompt_token_;
+    return unread * seconds_per_token(load);
 }
 
 double on_time_start::room_wait(const start_request& request, const engine_load& load) const
@@ -56,7 +56,7 @@
 start_decision on_time_start::decide(const start_request& request, const engine_load& load) const
 {
     const double goal = core::to_seconds(request.goal);
-    const double reading = static_cast<double>(request.prompt_tokens) * seconds_per_prompt_token_;
+    const double reading = static_cast<double>(request.prompt_tokens) * seconds_per_token(load);
     const double left = settings_.goal_fraction * goal - core::to_seconds(request.waited) - reading;
     const double allowed = std::max(left, settings_.min_wait_fraction * goal);
     const double late_by = reading_wait(request, load) - allowed;
@@ -102,7 +102,8 @@
         return;
     }
     update_mean(seconds_per_prompt_token_,
-                core::to_seconds(seen.took) / static_cast<double>(seen.prompt_tokens),
+                core::to_seconds(seen.took) /
+                    (static_cast<double>(seen.prompt_tokens) * seen.load.pace),
                 settings_.smoothing);
 }
 
--- a/src/limits/on_time_start.hpp
+++ b/src/limits/on_time_start.hpp
@@ -48,6 +48,11 @@
     double mean_prompt_tokens_ = 0.0;
     double run_seconds_ = 0.0;
 
+    /// @return expected time in which the engine reads a prompt token
+    [[nodiscard]] double seconds_per_token(const engine_load& load) const
+    {
+        return seconds_per_prompt_token_ * load.pace;
+    }
     /// @return expected time until the engine has read the prompts before the request's, in seconds
     [[nodiscard]] double reading_wait(const start_request& request, const engine_load& load) const;
     /// @return expected time until the engine has a slot and memory for the whole run, in seconds
--- a/src/relay/messages.hpp
+++ b/src/relay/messages.hpp
@@ -291,6 +291,8 @@
     const std::string bytes;
     /// Id of the last event in `bytes`.
     const std::string last_event;
+    /// Number of events in `bytes`.
+    const std::uint32_t count = 1;
 
     auto operator<=>(const stream_events&) const = default;
 };
@@ -414,7 +416,7 @@
                  target_notice, target_reached, target_answered, target_identified, target_checked,
                  instance_answered, configuration_read, configuration_confirmed, targets_listed,
                  members_listed, crashes_listed, rollouts_listed, rollout_reports_listed,
-                 members_restored, crashes_restored, stop_requested>;
+                 members_restored, crashes_restored, paces_merged, stop_requested>;
 
 /// Messages to the entry task.
 using entry_command =
@@ -427,6 +429,6 @@
 
 /// Messages to the store task.
 using store_command = std::variant<announce_member, withdraw_member, report_crash, withdraw_crash,
-                                   write_rollout_outcome, write_rollout_evidence>;
+                                   write_rollout_outcome, write_rollout_evidence, paces_observed>;
 
 } // namespace cyclamen::relay
--- a/src/relay/relay_manager.cpp
+++ b/src/relay/relay_manager.cpp
@@ -18,9 +18,10 @@
 relay_manager::relay_manager(const relay_settings& settings, const relay_charts& charts,
                              std::unique_ptr<target_chooser> chooser,
                              limits::engine_admission::policy_factory make_start_policy,
-                             std::unique_ptr<silence_policy> silence, relay_host& host)
-    : settings_{settings}, charts_{charts}, host_{host}, targets_{settings_, charts.target_health,
-                                                                  std::move(chooser)},
+                             std::unique_ptr<silence_policy> silence, relay_host& host,
+                             std::unique_ptr<routing::pace_source> paces)
+    : settings_{settings}, charts_{charts}, host_{host}, paces_{std::move(paces)},
+      targets_{settings_, charts.target_health, std::move(chooser), *paces_},
       budget_{settings.retries}, admission_{std::move(make_start_policy)},
       silence_{std::move(silence)}, lifecycle_{settings.lifecycle, charts.lifecycle, *this},
       members_{settings_.name, settings_.watch}, crashes_{settings_.crashes}
@@ -304,7 +305,8 @@
 
 void relay_manager::on(const metrics_query& query)
 {
-    host_.send(metrics_answer{query.caller, metrics_.text(requests_.size(), targets_.size())});
+    host_.send(metrics_answer{query.caller, metrics_.text(requests_.size(), targets_.size(),
+                                                          paces_->known_uneven(now_))});
 }
 
 void relay_manager::on(const target_identified& report)
--- a/src/relay/relay_manager.hpp
+++ b/src/relay/relay_manager.hpp
@@ -18,6 +18,7 @@
 #include "relay/retry_budget.hpp"
 #include "relay/target_directory.hpp"
 #include "relay/version_rollout.hpp"
+#include "routing/learnt_pace.hpp"
 
 namespace cyclamen::relay {
 
@@ -47,10 +48,13 @@
     /// @param make_start_policy makes the policy by which requests start on a service's engines
     /// @param silence decides why attempts receive nothing
     /// @param host callbacks; must outlive this object
-    relay_manager(const relay_settings& settings, const relay_charts& charts,
-                  std::unique_ptr<target_chooser> chooser,
-                  limits::engine_admission::policy_factory make_start_policy,
-                  std::unique_ptr<silence_policy> silence, relay_host& host);
+    /// @param paces learns how fast targets are
+    relay_manager(
+        const relay_settings& settings, const relay_charts& charts,
+        std::unique_ptr<target_chooser> chooser,
+        limits::engine_admission::policy_factory make_start_policy,
+        std::unique_ptr<silence_policy> silence, relay_host& host,
+        std::unique_ptr<routing::pace_source> paces = std::make_unique<routing::learnt_pace>());
     ~relay_manager() override;
     relay_manager(const relay_manager&) = delete;
     relay_manager& operator=(const relay_manager&) = delete;
@@ -72,6 +76,9 @@
     const relay_settings settings_;
     const relay_charts charts_;
     relay_host& host_;
+    const std::unique_ptr<routing::pace_source> paces_;
+    /// When observed paces were last passed on to other instances.
+    core::instant paces_shared_at_{};
     target_directory targets_;
     retry_budget budget_;
     limits::engine_admission admission_;
@@ -127,6 +134,7 @@
     void on(const target_notice& notice);
     void on(const target_reached& report);
     void on(const target_answered& answer);
+    void on(const paces_merged& update);
     /// Notifies requests of targets that are gone or leaving, since standby copies there are lost.
     void report_ending_targets();
     void on(const target_identified& report);
@@ -177,6 +185,7 @@
     void on_started(const request_plan& plan, const limits::engine_load& load,
                     core::duration took) override;
     void on_run_finished(const request_plan& plan, core::duration run_time) override;
+    void on_pace(const routing::pace_observation& seen) override;
     [[nodiscard]] limits::start_request start_request_of(const request_plan& plan) const;
     bool may_retry(const core::service_name& service) override;
     void count_retry(const core::service_name& service) override;
--- a/src/relay/relay_manager_admission.cpp
+++ b/src/relay/relay_manager_admission.cpp
@@ -29,7 +29,8 @@
                                load.memory_used,
                                load.memory_total > 0 ? load.memory_total
                                                      : plan.engine->memory_tokens,
-                               plan.engine->slots};
+                               plan.engine->slots,
+                               targets_.pace_of(target, now_)};
 }
 
 limits::start_decision relay_manager::admit(const request_plan& plan,
--- a/src/relay/relay_metrics.cpp
+++ b/src/relay/relay_metrics.cpp
@@ -19,10 +19,12 @@
     registry_.counter_of(core::concat(event, "_total"), labels).add();
 }
 
-std::string relay_metrics::text(std::size_t open_requests, std::size_t targets)
+std::string relay_metrics::text(std::size_t open_requests, std::size_t targets,
+                                std::size_t uneven_targets)
 {
     registry_.set_gauge("open_requests", static_cast<double>(open_requests));
     registry_.set_gauge("listed_targets", static_cast<double>(targets));
+    registry_.set_gauge("uneven_targets", static_cast<double>(uneven_targets));
     return registry_.text();
 }
 
--- a/src/relay/relay_metrics.hpp
+++ b/src/relay/relay_metrics.hpp
@@ -25,8 +25,10 @@
     /// @param event log event of the failure
     void on_attempt(const metrics::series_labels& labels, std::string_view event);
 
+    /// @param uneven_targets targets that are known to be faster or slower than usual
     /// @return all series in the Prometheus text format
-    [[nodiscard]] std::string text(std::size_t open_requests, std::size_t targets);
+    [[nodiscard]] std::string text(std::size_t open_requests, std::size_t targets,
+                                   std::size_t uneven_targets);
 
   private:
     /// Bounds the memory use. Ten accounts with four services and two ranks need some hundred
--- a/src/relay/relay_settings.hpp
+++ b/src/relay/relay_settings.hpp
@@ -80,6 +80,9 @@
     const double waiting_cost = 5000;
     /// Cost of a token in an engine's memory; an engine with full memory preempts requests.
     const double memory_cost = 0.1;
+    /// Cost of each request beyond the number that the target is known to take well: as much as one
+    /// that waits.
+    const double excess_cost = 5000;
     /// Number of engines that are asked for their load before a request is placed.
     const std::size_t survey_size = 3;
     /// Cost of each position between the preferred target and the candidate.
--- a/src/relay/relayed_request.cpp
+++ b/src/relay/relayed_request.cpp
@@ -61,6 +61,7 @@
     last_event_ = report.last_event;
     now_ = now;
     note_progress();
+    note_stream_pace(report.count);
     raise(request_event::events_arrived, now);
 }
 
@@ -392,6 +393,7 @@
     if (start_load_.has_value()) {
         first_event_at_ = now_;
         host_.on_started(plan_, start_load_->get(), now_ - attempt_opened_at_);
+        note_reading_pace();
     }
 }
 
@@ -411,6 +413,7 @@
     report_outcome(answer.head.status >= first_failure_status);
     host_.on_answered(plan_, now_ - plan_.accepted);
     host_.on_success(placed_->get().target.name);
+    note_answer_pace(answer.head.status);
     host_.send(complete_answer{plan_.submitted.caller, answer.head, answer.body});
     finish("answered");
 }
--- a/src/relay/relayed_request.hpp
+++ b/src/relay/relayed_request.hpp
@@ -17,6 +17,8 @@
 #include "relay/request_chart.hpp"
 #include "relay/run_protection.hpp"
 #include "relay/silence_policy.hpp"
+#include "routing/pace_source.hpp"
+#include "routing/stream_pace.hpp"
 
 namespace cyclamen::relay {
 
@@ -97,6 +99,8 @@
     /// A stream is complete.
     /// @param run_time time since its first event
     virtual void on_run_finished(const request_plan& plan, core::duration run_time) = 0;
+    /// A target has taken some time for a piece of work.
+    virtual void on_pace(const routing::pace_observation& seen) = 0;
 
     /// The caller received its response, or the first event of a stream.
     /// @param waited time since the request was accepted
@@ -210,6 +214,8 @@
     /// Delay for the caller if the request is refused for lack of room.
     core::duration overload_retry_after_{};
     std::optional<core::instant> first_event_at_;
+    /// Time per event of the current attempt.
+    routing::stream_pace stream_pace_;
     std::set<core::target_name> tried_;
     std::optional<core::failure_domain_name> lost_domain_;
     /// Set only while a stream with a standby is in progress.
@@ -282,6 +288,11 @@
     void begin_answer();
     void deliver_events();
     void note_started();
+    /// Reports how long the current target took for a piece of work.
+    void report_pace(routing::pace_kind kind, std::uint32_t running, double seconds);
+    void note_reading_pace();
+    void note_stream_pace(std::uint32_t events);
+    void note_answer_pace(int status);
     void finish_answer();
     void deliver_answer();
 
--- a/src/relay/relayed_request_placement.cpp
+++ b/src/relay/relayed_request_placement.cpp
@@ -176,6 +176,7 @@
     attempt_has_events_ = false;
     attempt_first_event_at_.reset();
     begun_at_.reset();
+    stream_pace_ = {};
     attempt_opened_at_ = now_;
     outcome_reported_ = false;
     attempt_sent_ = true;
--- a/src/relay/store_messages.hpp
+++ b/src/relay/store_messages.hpp
@@ -12,6 +12,7 @@
 #include "relay/rollout_records.hpp"
 #include "relay/route_table.hpp"
 #include "relay/target.hpp"
+#include "routing/pace_source.hpp"
 
 /// @file
 /// Messages between the decision task and what reads and writes the platform's store.
@@ -144,4 +145,19 @@
     auto operator<=>(const withdraw_member&) const = default;
 };
 
+/// What this instance has observed of the paces of targets since the last such message.
+struct paces_observed {
+    const std::vector<routing::pace_report> paces;
+    const core::instant at;
+
+    auto operator<=>(const paces_observed&) const = default;
+};
+
+/// What the instances with a common reader know of the paces of targets.
+struct paces_merged {
+    const std::vector<routing::pace_report> paces;
+
+    auto operator<=>(const paces_merged&) const = default;
+};
+
 } // namespace cyclamen::relay
--- a/src/relay/target_chooser.hpp
+++ b/src/relay/target_chooser.hpp
@@ -29,6 +29,12 @@
     double distance;
     /// Load that the target reported, null if it was not asked.
     const reported_load* load;
+    /// Expected time factor of the target, 1 = usual for its service.
+    double pace = 1.0;
+    /// Number of running requests beyond which the target slows down, 0 if unknown.
+    std::uint32_t takes_well = 0;
+    /// Prompt tokens of the request that is placed.
+    std::uint64_t prompt_tokens = 0;
 };
 
 /// Strategy that selects a target. Called by target_directory on the decision task.
--- a/src/relay/target_directory.cpp
+++ b/src/relay/target_directory.cpp
@@ -12,8 +12,10 @@
 
 target_directory::target_directory(const relay_settings& settings,
                                    std::shared_ptr<const chart::chart> health,
-                                   std::unique_ptr<target_chooser> chooser)
-    : settings_{settings}, health_chart_{std::move(health)}, chooser_{std::move(chooser)}
+                                   std::unique_ptr<target_chooser> chooser,
+                                   const routing::pace_source& paces)
+    : settings_{settings},
+      health_chart_{std::move(health)}, chooser_{std::move(chooser)}, paces_{paces}
 {
 }
 
@@ -208,8 +210,9 @@
                               const core::failure_domain_name* excluded_domain, core::instant now)
 {
     const std::vector<const known_target*> best = best_group(query, excluded_domain, now);
-    return best.empty() ? nullptr
-                        : best[chooser_->choose(make_candidates(best, query), settings_.domain)];
+    return best.empty()
+               ? nullptr
+               : best[chooser_->choose(make_candidates(best, query, now), settings_.domain)];
 }
 
 placement_query target_directory::available_query(const placement_query& query) const
@@ -285,13 +288,17 @@
 
 std::vector<candidate>
 target_directory::make_candidates(const std::vector<const known_target*>& targets,
-                                  const placement_query& query) const
+                                  const placement_query& query, core::instant now) const
 {
     std::vector<candidate> candidates;
     for (const known_target* known : targets) {
-        const auto load = query.loads.find(known->record.get().name);
-        candidates.push_back(candidate{&known->record.get(), &known->work, distance_to(*known),
-                                       load == query.loads.end() ? nullptr : &load->second});
+        const target_record& record = known->record.get();
+        const auto load = query.loads.find(record.name);
+        candidates.push_back(candidate{&record, &known->work, distance_to(*known),
+                                       load == query.loads.end() ? nullptr : &load->second,
+                                       paces_.pace_of(record.name, record.started_at, now),
+                                       paces_.takes_well(record.name, record.started_at, now),
+                                       query.prompt_tokens});
     }
     if (query.prompt_key.empty()) {
         return candidates;
@@ -351,6 +358,14 @@
     adjust_copies(placed.standby, -1);
 }
 
+double target_directory::pace_of(const core::target_name& target, core::instant now) const
+{
+    const auto found = targets_.find(target);
+    return found == targets_.end()
+               ? 1.0
+               : paces_.pace_of(target, found->second.record.get().started_at, now);
+}
+
 local_work target_directory::work_on(const core::target_name& target) const
 {
     const auto found = targets_.find(target);
--- a/src/relay/target_directory.hpp
+++ b/src/relay/target_directory.hpp
@@ -12,6 +12,7 @@
 #include "relay/placement.hpp"
 #include "relay/relay_settings.hpp"
 #include "relay/target_chooser.hpp"
+#include "routing/pace_source.hpp"
 #include "routing/target_health.hpp"
 
 namespace cyclamen::relay {
@@ -23,8 +24,9 @@
     /// @param settings settings of the instance
     /// @param health the chart `target_health`
     /// @param chooser strategy that selects among equally healthy targets
+    /// @param paces how fast targets are; must outlive this object
     target_directory(const relay_settings& settings, std::shared_ptr<const chart::chart> health,
-                     std::unique_ptr<target_chooser> chooser);
+                     std::unique_ptr<target_chooser> chooser, const routing::pace_source& paces);
     ~target_directory() override;
     target_directory(const target_directory&) = delete;
     target_directory& operator=(const target_directory&) = delete;
@@ -82,6 +84,9 @@
     /// @return true if that incarnation of a target is listed and not leaving
     [[nodiscard]] bool is_serving(const target_record& target, core::instant now);
 
+    /// @return expected time factor of a target, 1 if it is not listed
+    [[nodiscard]] double pace_of(const core::target_name& target, core::instant now) const;
+
     /// @return the work that this instance has on a target; none if it is not listed
     [[nodiscard]] local_work work_on(const core::target_name& target) const;
 
@@ -101,6 +106,7 @@
     const relay_settings settings_;
     std::shared_ptr<const chart::chart> health_chart_;
     std::unique_ptr<target_chooser> chooser_;
+    const routing::pace_source& paces_;
     /// Time of the last loss of each target of a service in one failure domain.
     using loss_times = std::map<core::target_name, core::instant>;
 
@@ -130,8 +136,8 @@
     best_group(const placement_query& query, const core::failure_domain_name* excluded_domain,
                core::instant now);
     [[nodiscard]] std::vector<candidate>
-    make_candidates(const std::vector<const known_target*>& targets,
-                    const placement_query& query) const;
+    make_candidates(const std::vector<const known_target*>& targets, const placement_query& query,
+                    core::instant now) const;
     /// @return the query without its rule on versions if no target of the required one is listed
     [[nodiscard]] placement_query available_query(const placement_query& query) const;
     [[nodiscard]] const known_target* pick_target(const placement_query& query,
--- a/src/replica/feed_codec.cpp
+++ b/src/replica/feed_codec.cpp
@@ -7,6 +7,7 @@
 #pragma GCC diagnostic pop
 
 #include "core/error.hpp"
+#include "replica/pace_codec.hpp"
 
 namespace cyclamen::replica {
 
@@ -49,7 +50,9 @@
     }
     out.set_wait_ms(static_cast<std::uint32_t>(
         std::chrono::duration_cast<std::chrono::milliseconds>(query.wait).count()));
-    return out.SerializeAsString();
+    std::string message = out.SerializeAsString();
+    append_paces(pace_changes{query.paces, query.pace_position}, message);
+    return message;
 }
 
 std::string encode(const feed_answer& answer)
@@ -70,7 +73,9 @@
     }
     out.set_age_ms(static_cast<std::uint32_t>(
         std::chrono::ceil<std::chrono::milliseconds>(answer.age).count()));
-    return out.SerializeAsString();
+    std::string message = out.SerializeAsString();
+    append_paces(pace_changes{answer.paces, answer.pace_position}, message);
+    return message;
 }
 
 absl::StatusOr<feed_query> decode_feed_query(std::string_view body)
@@ -83,7 +88,9 @@
     for (const wire::table_state& each : in.known()) {
         known.push_back(table_state{each.table(), read_version(each)});
     }
-    return feed_query{std::move(known), std::chrono::milliseconds{in.wait_ms()}};
+    pace_changes paces = find_paces(body);
+    return feed_query{std::move(known), std::chrono::milliseconds{in.wait_ms()},
+                      std::move(paces.paces), paces.position};
 }
 
 absl::StatusOr<feed_answer> decode_feed_answer(std::string_view body)
@@ -101,7 +108,9 @@
         tables.push_back(
             table_update{each.table(), read_version(each), each.whole(), std::move(rows)});
     }
-    return feed_answer{std::move(tables), std::chrono::milliseconds{in.age_ms()}};
+    pace_changes paces = find_paces(body);
+    return feed_answer{std::move(tables), std::chrono::milliseconds{in.age_ms()},
+                       std::move(paces.paces), paces.position};
 }
 
 } // namespace cyclamen::replica
--- a/src/replica/feed_codec.hpp
+++ b/src/replica/feed_codec.hpp
@@ -8,6 +8,7 @@
 
 #include "core/time.hpp"
 #include "replica/row.hpp"
+#include "routing/pace_source.hpp"
 
 /// @file
 /// Bodies of the requests by which instances replicate tables from each other, and their encoding.
@@ -19,6 +20,10 @@
     const std::vector<table_state> known;
     /// How long the answer may be delayed until there is a change.
     const core::duration wait;
+    /// What the asker has observed of the paces of targets since its last query.
+    const std::vector<routing::pace_report> paces = {};
+    /// Position of this reader's last answer in its changes of paces, 0 if there was none.
+    const std::uint64_t pace_position = 0;
 
     auto operator<=>(const feed_query&) const = default;
 };
@@ -28,6 +33,10 @@
     const std::vector<table_update> tables;
     /// Time since the store last answered for the reader's first table.
     const core::duration age;
+    /// Changes of paces since the position in the query.
+    const std::vector<routing::pace_report> paces = {};
+    /// Position up to which the changes go.
+    const std::uint64_t pace_position = 0;
 
     auto operator<=>(const feed_answer&) const = default;
 };
--- a/src/replica/messages.hpp
+++ b/src/replica/messages.hpp
@@ -7,6 +7,7 @@
 
 #include "replica/feed_peer.hpp"
 #include "replica/row.hpp"
+#include "routing/pace_source.hpp"
 
 /// @file
 /// Messages between the replica task, the store task and the users of the tables.
@@ -39,8 +40,16 @@
     auto operator<=>(const peers_listed&) const = default;
 };
 
+/// What this instance has observed of the paces of targets since the last such message.
+struct paces_observed {
+    const std::vector<routing::pace_report> paces;
+    const core::instant at;
+
+    auto operator<=>(const paces_observed&) const = default;
+};
+
 /// Messages to the replica task.
-using replica_message = std::variant<store_answered, store_failed, peers_listed>;
+using replica_message = std::variant<store_answered, store_failed, peers_listed, paces_observed>;
 
 // ---- from the replica task ----
 
--- a/src/replica/replica_listener.hpp
+++ b/src/replica/replica_listener.hpp
@@ -1,6 +1,9 @@
 #pragma once
 
+#include <vector>
+
 #include "replica/row.hpp"
+#include "routing/pace_source.hpp"
 
 namespace cyclamen::replica {
 
@@ -21,6 +24,10 @@
     /// @param source instance that was asked, empty for the store itself
     /// @param at when the store last answered that source; never earlier than in the call before
     virtual void on_confirmed(const core::instance_name& source, core::instant at) = 0;
+
+    /// Other instances have reported how fast targets are. Ignored by listeners that place no
+    /// requests.
+    virtual void on_paces(const std::vector<routing::pace_report>& /*merged*/) {}
 };
 
 } // namespace cyclamen::replica
--- a/src/replica/replica_task.cpp
+++ b/src/replica/replica_task.cpp
@@ -150,6 +150,18 @@
     }
 }
 
+void replica_task::handle(const paces_observed& report)
+{
+    paces_.observe(report.paces, report.at, can_serve());
+}
+
+void replica_task::pass_paces()
+{
+    if (const auto changed = paces_.take_changes(now()); !changed.empty()) {
+        listener_.on_paces(changed);
+    }
+}
+
 void replica_task::on_request(http::exchange_id exchange, const http::request& received)
 {
     const auto query = decode_feed_query(received.body);
@@ -159,8 +171,11 @@
     }
     if (!can_serve() || waiting_.size() >= settings_.max_waiting) {
         reject(exchange);
+        return;
     }
-    else if (query->wait == core::duration::zero() || has_changes_for(*query)) {
+    paces_.merge(query->paces, now());
+    pass_paces();
+    if (query->wait == core::duration::zero() || has_changes_for(*query)) {
         answer(exchange, *query);
     }
     else {
@@ -246,15 +261,16 @@
     asked_reader_.set(reader.name.empty() ? core::instance_name{core::to_string(reader.feed)}
                                           : reader.name);
     // No time limit here: the timers of the source apply.
-    question_ = questions_->send(reader.feed,
-                                 http::request{"POST",
-                                               std::string{feed_path},
-                                               {{"content-type", "application/x-protobuf"}},
-                                               encode(feed_query{known(), wait})},
-                                 std::nullopt,
-                                 [this](const absl::StatusOr<http::buffered_response>& answer) {
-                                     on_reader_answer(answer);
-                                 });
+    question_ = questions_->send(
+        reader.feed,
+        http::request{"POST",
+                      std::string{feed_path},
+                      {{"content-type", "application/x-protobuf"}},
+                      encode(feed_query{known(), wait, paces_.take_unsent(now()),
+                                        paces_.position_at(reader)})},
+        std::nullopt, [this](const absl::StatusOr<http::buffered_response>& answer) {
+            on_reader_answer(answer);
+        });
 }
 
 void replica_task::apply_answer()
@@ -263,6 +279,8 @@
     for (const table_update& each : taken->tables) {
         apply(each);
     }
+    paces_.apply(taken->paces, taken->pace_position, now());
+    pass_paces();
     confirm(asked_reader_.get(), now() - taken->age);
 }
 
@@ -343,10 +361,12 @@
             updates.push_back(copy->second.changes_since(each.version));
         }
     }
+    pace_changes paces = paces_.changes_since(query.pace_position, now());
     server_->respond(exchange,
                      http::response_head{status_ok, {{"content-type", "application/x-protobuf"}}},
                      encode(feed_answer{std::move(updates),
-                                        freshness_.age(now()).value_or(core::duration::zero())}));
+                                        freshness_.age(now()).value_or(core::duration::zero()),
+                                        std::move(paces.paces), paces.position}));
 }
 
 void replica_task::reject(http::exchange_id exchange)
--- a/src/replica/replica_task.hpp
+++ b/src/replica/replica_task.hpp
@@ -14,6 +14,7 @@
 #include "replica/copy_freshness.hpp"
 #include "replica/feed_codec.hpp"
 #include "replica/messages.hpp"
+#include "replica/pace_exchange.hpp"
 #include "replica/replica_listener.hpp"
 #include "replica/replica_source.hpp"
 #include "replica/restored_rows.hpp"
@@ -103,6 +104,7 @@
     store_scope scope_ = store_scope::nothing;
     bool probing_ = false;
     std::unique_ptr<const feed_answer> answer_;
+    pace_exchange paces_;
     task::deadline_timer timer_;
 
     absl::Status on_start() override;
@@ -111,6 +113,7 @@
     void handle(const store_answered& answer);
     void handle(const store_failed& failure);
     void handle(const peers_listed& update);
+    void handle(const paces_observed& report);
 
     void on_request(http::exchange_id exchange, const http::request& received) override;
     void on_disconnect(http::exchange_id exchange) override;
@@ -133,6 +136,7 @@
     /// @return true if the copy of the table has changed
     bool apply(const table_update& update);
     void pass_settled_rows();
+    void pass_paces();
     void confirm(const core::instance_name& source, core::instant at);
     [[nodiscard]] std::vector<table_state> known() const;
     [[nodiscard]] bool can_serve() const;
