relay: urgency of requests, told to engines

Change: the rank of a client account, or else of the route, is the urgency of a request, but only at services whose requests differ in it. Attempts carry it, resumed ones too. Load reports tell the memory of runs by urgency.

--- a/src/relay/messages.hpp
+++ b/src/relay/messages.hpp
@@ -12,6 +12,7 @@
 #include "core/identifier.hpp"
 #include "core/socket_address.hpp"
 #include "core/time.hpp"
+#include "limits/urgency.hpp"
 #include "relay/member_registry.hpp"
 #include "relay/reported_load.hpp"
 #include "relay/route_table.hpp"
@@ -210,6 +211,8 @@
     const std::optional<core::socket_address> standby;
     /// Copy of the memory from which the target resumes.
     const std::optional<run_copy> copy;
+    /// Order in which the target serves it; empty if requests don't differ.
+    const std::optional<limits::urgency_rank> urgency = {};
 
     bool operator==(const open_attempt&) const = default;
 };
--- a/src/relay/relay_manager.cpp
+++ b/src/relay/relay_manager.cpp
@@ -126,9 +126,16 @@
         refuse(submitted, core::error_kind::quarantined, quarantine_problem, *quarantine);
         return;
     }
-    request_plan plan{
-        number,  submitted, *matched_route, service, has_engine ? traits->engine : std::nullopt,
-        account, now_,      accused,        is_trial};
+    request_plan plan{number,
+                      submitted,
+                      *matched_route,
+                      service,
+                      has_engine ? traits->engine : std::nullopt,
+                      account,
+                      now_,
+                      accused,
+                      is_trial,
+                      table_->urgency_of(service, *matched_route, account)};
     auto made =
         std::make_unique<relayed_request>(std::move(plan), settings_.requests, charts_.request,
                                           charts_.protection, static_cast<request_host&>(*this));
--- a/src/relay/relayed_request.hpp
+++ b/src/relay/relayed_request.hpp
@@ -33,6 +33,8 @@
     const request_traits traits;
     /// The request is quarantined and runs once, to find out whether its traits crash targets.
     const bool is_trial = false;
+    /// Order in which it is served; empty if requests of the service don't differ.
+    const std::optional<limits::urgency_rank> urgency = {};
 
     bool operator==(const request_plan&) const = default;
 };
--- a/src/relay/relayed_request_placement.cpp
+++ b/src/relay/relayed_request_placement.cpp
@@ -205,7 +205,7 @@
         attempt_id{plan_.number, attempt_}, placed.target.name, placed.target.address,
         plan_.submitted.content, answer_deadline() - now_, plan_.account, last_event_,
         placed.standby.has_value() ? std::optional{placed.standby->address} : std::nullopt,
-        placed.from_copy ? std::optional{copy_->get()} : std::nullopt});
+        placed.from_copy ? std::optional{copy_->get()} : std::nullopt, plan_.urgency});
     if (placed.standby.has_value()) {
         protection_ = std::make_unique<run_protection>(
             run_copy{placed.standby->address, plan_.submitted.content->id},
--- a/src/relay/route_table.cpp
+++ b/src/relay/route_table.cpp
@@ -7,8 +7,9 @@
 route_table::route_table(core::revision revision, std::vector<route> routes,
                          std::vector<service_traits> services, std::vector<account> accounts,
                          caller_limits limits)
-    : revision_{revision}, routes_{std::move(routes)}, needs_keys_{!accounts.empty()}, limits_{
-                                                                                           limits}
+    : revision_{revision}, routes_{std::move(routes)}, ordered_services_{find_ordered_services(
+                                                           routes_, accounts)},
+      needs_keys_{!accounts.empty()}, limits_{limits}
 {
     for (const service_traits& each : services) {
         services_.emplace(each.name, each);
@@ -17,6 +18,9 @@
         for (const std::string& key : each.keys) {
             keys_.emplace(key, each.name);
         }
+        if (each.rank.has_value()) {
+            account_ranks_.emplace(each.name, *each.rank);
+        }
     }
 }
 
@@ -39,6 +43,46 @@
     return found == keys_.end() ? nullptr : &found->second;
 }
 
+std::set<core::service_name>
+route_table::find_ordered_services(const std::vector<route>& routes,
+                                   const std::vector<account>& accounts)
+{
+    std::map<core::service_name, std::set<limits::urgency_rank>> ranks;
+    for (const route& each : routes) {
+        std::set<limits::urgency_rank> of_route;
+        if (each.is_public || accounts.empty()) {
+            of_route.insert(limits::bounded_urgency(each.rank));
+        }
+        else {
+            for (const account& caller : accounts) {
+                of_route.insert(limits::bounded_urgency(caller.rank.value_or(each.rank)));
+            }
+        }
+        for (const weighted_service& target : each.services) {
+            ranks[target.service].insert(of_route.begin(), of_route.end());
+        }
+    }
+    std::set<core::service_name> ordered;
+    for (const auto& [service, found] : ranks) {
+        if (found.size() > 1) {
+            ordered.insert(service);
+        }
+    }
+    return ordered;
+}
+
+std::optional<limits::urgency_rank> route_table::urgency_of(const core::service_name& service,
+                                                            const route& matched_route,
+                                                            const core::account_name& account) const
+{
+    if (!ordered_services_.contains(service)) {
+        return std::nullopt;
+    }
+    const auto rank = account_ranks_.find(account);
+    return limits::bounded_urgency(rank == account_ranks_.end() ? matched_route.rank
+                                                                : rank->second);
+}
+
 const service_traits* route_table::find_unique_service(const std::vector<std::string>& models) const
 {
     const service_traits* only = nullptr;
--- a/src/relay/route_table.hpp
+++ b/src/relay/route_table.hpp
@@ -5,12 +5,14 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "core/identifier.hpp"
 #include "core/time.hpp"
+#include "limits/urgency.hpp"
 
 namespace cyclamen::relay {
 
@@ -93,6 +95,8 @@
 struct account {
     const core::account_name name;
     const std::vector<std::string> keys;
+    /// Priority of its requests, instead of their routes'; 0 is the highest.
+    const std::optional<std::uint32_t> rank = {};
 
     auto operator<=>(const account&) const = default;
 };
@@ -132,6 +136,14 @@
     /// @return the account with this key, null if there is none
     [[nodiscard]] const core::account_name* find_account(const std::string& key) const;
 
+    /// @param service service of a request
+    /// @param matched_route its route
+    /// @param account its account, empty on a public route
+    /// @return its urgency, 0 first; empty if no requests of the service differ in urgency
+    [[nodiscard]] std::optional<limits::urgency_rank>
+    urgency_of(const core::service_name& service, const route& matched_route,
+               const core::account_name& account) const;
+
     /// @return the only service whose engines run all of the models, null if there is none or more
     ///         than one
     [[nodiscard]] const service_traits*
@@ -147,8 +159,15 @@
     std::vector<route> routes_;
     std::map<core::service_name, service_traits> services_;
     std::map<std::string, core::account_name> keys_;
+    std::map<core::account_name, std::uint32_t> account_ranks_;
+    /// Services whose requests differ in urgency.
+    std::set<core::service_name> ordered_services_;
     bool needs_keys_;
     caller_limits limits_;
+
+    /// @return services to which routes or accounts of unequal ranks send requests
+    [[nodiscard]] static std::set<core::service_name>
+    find_ordered_services(const std::vector<route>& routes, const std::vector<account>& accounts);
 };
 
 using route_table_ptr = std::shared_ptr<const route_table>;
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -351,3 +351,42 @@
     }
     BOOST_TEST((platform::decode_progress(report, "") == relay::run_progress{}));
 }
+
+BOOST_AUTO_TEST_CASE(an_attempt_states_its_urgency_only_if_requests_differ)
+{
+    const relay::open_attempt plain = make_attempt(false);
+    BOOST_TEST(
+        platform::encode_attempt(plain).find_header("x-cyclamencourse-request-urgency").empty());
+    const relay::open_attempt urgent{
+        plain.attempt, plain.target, plain.address, plain.content, plain.time_left,
+        plain.account, {},           plain.standby, plain.copy,    0};
+    BOOST_TEST(platform::encode_attempt(urgent).find_header("x-cyclamencourse-request-urgency") ==
+               "0");
+}
+
+BOOST_AUTO_TEST_CASE(a_load_report_tells_the_memory_of_runs_by_urgency)
+{
+    const auto load = platform::decode_load(
+        R"({"running":4,"runs":[["a",1500,12,2],["b",300,0,0],["c",200,0,2],
+            ["d",100,0,77],["e","1",0,1],["f"],7]})");
+    BOOST_REQUIRE(load.has_value());
+    const std::vector<relay::runs_of_urgency> expected{{0, 1, 300}, {2, 2, 1700}};
+    BOOST_TEST((load->runs == expected));
+    BOOST_TEST(platform::decode_load(R"({"running":1})")->runs.empty());
+}
+
+BOOST_AUTO_TEST_CASE(an_account_with_a_priority_ranks_its_requests)
+{
+    const auto table = platform::decode_configuration(R"({"version":4,
+        "routes":[{"name":"r","host":"h","prefix":"/a/","backend":"s","priority":3}],
+        "backends":[{"name":"s"}],
+        "tenants":[{"name":"first","api_keys":["k1"],"priority":0},
+                   {"name":"other","api_keys":["k2"]}]})");
+    BOOST_REQUIRE(table.ok());
+    const auto urgency = [&](const char* account) {
+        return (*table)->urgency_of(core::service_name{"s"}, (*table)->routes()[0],
+                                    core::account_name{account});
+    };
+    BOOST_TEST((urgency("first") == 0U));
+    BOOST_TEST((urgency("other") == 3U));
+}
