limits: requests start in order of urgency

Cause: nothing compared the urgency of requests; the longer goal passed the same door earlier. Change: ordered_start beside on_time_start, a bounded waiting line, return times by schedule; the relay refuses waiting requests that can't start in time.

--- a/src/limits/engine_load.hpp
+++ b/src/limits/engine_load.hpp
@@ -19,6 +19,12 @@
     const std::uint64_t memory_total;
     /// Number of requests that the engine runs at the same time, 0 if unknown.
     const std::uint32_t slots;
+    /// Tokens in memory of running requests that are less urgent than the one to be placed, and the
+    /// number of these requests.
+    const std::uint64_t yielding_tokens = 0;
+    const std::uint32_t yielding_runs = 0;
+    /// Tokens in memory of running requests that are more urgent.
+    const std::uint64_t urgent_tokens = 0;
 
     auto operator<=>(const engine_load&) const = default;
 };
--- a/src/limits/start_policy.hpp
+++ b/src/limits/start_policy.hpp
@@ -2,9 +2,11 @@
 
 #include <compare>
 #include <cstdint>
+#include <optional>
 
 #include "core/time.hpp"
 #include "limits/engine_load.hpp"
+#include "limits/urgency.hpp"
 
 namespace cyclamen::limits {
 
@@ -20,6 +22,8 @@
     const bool may_wait;
     /// Spreads the returns of refused callers; evenly distributed over all values.
     const std::uint64_t spread;
+    /// Order in which it is served; empty if requests of the service don't differ.
+    const std::optional<urgency_rank> urgency = {};
 
     auto operator<=>(const start_request&) const = default;
 };
@@ -72,6 +76,12 @@
     [[nodiscard]] virtual bool has_room_for_copy(const start_request& request,
                                                  const engine_load& load) const = 0;
 
+    /// Learns which requests arrive; called once a request.
+    virtual void on_arrival(const start_request& /*request*/) {}
+
+    /// Learns from the load that was reported for a request, before decide().
+    virtual void on_asked(const start_request& /*request*/, const engine_load& /*load*/) {}
+
     /// Learns how long engines take to the first event.
     virtual void on_first_event(const start_observation& seen) = 0;
 
--- a/src/relay/relay_manager.cpp
+++ b/src/relay/relay_manager.cpp
@@ -136,6 +136,7 @@
                       accused,
                       is_trial,
                       table_->urgency_of(service, *matched_route, account)};
+    on_arrival(plan);
     auto made =
         std::make_unique<relayed_request>(std::move(plan), settings_.requests, charts_.request,
                                           charts_.protection, static_cast<request_host&>(*this));
--- a/src/relay/relay_manager.hpp
+++ b/src/relay/relay_manager.hpp
@@ -173,6 +173,10 @@
                                               const reported_load& load) const override;
     limits::start_decision admit(const request_plan& plan,
                                  const limits::engine_load& load) override;
+    void on_arrival(const request_plan& plan);
+    [[nodiscard]] limits::waiting_state waiting_state_of(const request_plan& plan) const override;
+    core::duration end_waiting(const request_plan& plan) override;
+    void on_placed(const request_plan& plan) override;
     bool has_room_for_copy(const request_plan& plan, const limits::engine_load& load) override;
     void on_started(const request_plan& plan, const limits::engine_load& load,
                     core::duration took) override;
--- a/src/relay/relay_task.cpp
+++ b/src/relay/relay_task.cpp
@@ -1,6 +1,6 @@
 #include "relay/relay_task.hpp"
 
-#include "limits/on_time_start.hpp"
+#include "limits/ordered_start.hpp"
 #include "relay/least_work_chooser.hpp"
 
 namespace cyclamen::relay {
@@ -26,7 +26,7 @@
 {
     manager_ = std::make_unique<relay_manager>(
         settings_, charts_, std::make_unique<least_work_chooser>(settings_.placement),
-        [] { return std::make_unique<limits::on_time_start>(); },
+        [] { return std::make_unique<limits::ordered_start>(); },
         std::make_unique<progress_silence_policy>(), static_cast<relay_host&>(*this));
     manager_->start(now());
     timer_.set(manager_->next_deadline());
--- a/src/relay/relayed_request.cpp
+++ b/src/relay/relayed_request.cpp
@@ -247,6 +247,10 @@
                host_.may_retry(plan_.service);
     case request_guard::may_ask:
         return plan_.engine.has_value();
+    case request_guard::has_turn:
+        return host_.waiting_state_of(plan_) == limits::waiting_state::first;
+    case request_guard::may_stay:
+        return host_.waiting_state_of(plan_) != limits::waiting_state::ended;
     case request_guard::events_seen:
         return attempt_has_events_;
     case request_guard::candidates_left:
@@ -321,6 +325,9 @@
     case request_action::refuse_overloaded:
         refuse_overloaded();
         break;
+    case request_action::refuse_waiting:
+        refuse_waiting();
+        break;
     case request_action::refuse_quarantined:
         refuse_quarantined();
         break;
--- a/src/relay/relayed_request.hpp
+++ b/src/relay/relayed_request.hpp
@@ -9,7 +9,7 @@
 #include "chart/machine.hpp"
 #include "chart/timer_set.hpp"
 #include "core/cell.hpp"
-#include "limits/start_policy.hpp"
+#include "limits/engine_admission.hpp"
 #include "relay/crash_review.hpp"
 #include "relay/messages.hpp"
 #include "relay/placement.hpp"
@@ -75,6 +75,18 @@
     virtual limits::start_decision admit(const request_plan& plan,
                                          const limits::engine_load& load) = 0;
 
+    /// @param plan a request that admit() let wait
+    /// @return whether it may ask engines
+    [[nodiscard]] virtual limits::waiting_state
+    waiting_state_of(const request_plan& plan) const = 0;
+
+    /// A request that admit() let wait is refused.
+    /// @return delay for its caller
+    virtual core::duration end_waiting(const request_plan& plan) = 0;
+
+    /// An attempt of the request is opened; it no longer waits.
+    virtual void on_placed(const request_plan& plan) = 0;
+
     /// @return true if an engine has room for a copy of the request's memory
     virtual bool has_room_for_copy(const request_plan& plan, const limits::engine_load& load) = 0;
 
@@ -280,6 +292,8 @@
     /// @return true if the request could be sent to another target than the current one
     [[nodiscard]] bool has_other_target() const;
     void refuse_overloaded();
+    void refuse_waiting();
+    [[nodiscard]] std::string urgency_text() const;
     void start_attempt();
     void begin_answer();
     void deliver_events();
--- a/src/relay/relayed_request_outcome.cpp
+++ b/src/relay/relayed_request_outcome.cpp
@@ -87,6 +87,18 @@
            overload_retry_after_);
 }
 
+void relayed_request::refuse_waiting()
+{
+    const core::duration retry_after = host_.end_waiting(plan_);
+    core::log_event(core::log_level::info, "waiting_ended",
+                    {{"request", plan_.submitted.content->id},
+                     {"urgency", urgency_text()},
+                     {"after_ms", core::to_milliseconds(now_ - plan_.accepted)},
+                     {"retry_after_ms", core::to_milliseconds(retry_after)}});
+    refuse(core::error_kind::overloaded, "no engine had room for the request in time", true,
+           retry_after);
+}
+
 void relayed_request::refuse(core::error_kind kind, std::string_view problem, bool not_run,
                              core::duration retry_after)
 {
--- a/src/relay/relayed_request_placement.cpp
+++ b/src/relay/relayed_request_placement.cpp
@@ -130,15 +130,22 @@
     core::log_event(core::log_level::info, "engines_overloaded",
                     {{"request", plan_.submitted.content->id},
                      {"target", found.target.name.str()},
+                     {"urgency", urgency_text()},
                      {"waiting", load->second.waiting},
                      {"running", load->second.running},
                      {"memory_used", load->second.memory_used},
+                     {"less_urgent_tokens", engine.yielding_tokens},
                      {"after_ms", core::to_milliseconds(now_ - plan_.accepted)},
                      {"retry_after_ms", core::to_milliseconds(decision.retry_after)}});
     return decision.verdict == limits::start_verdict::wait ? request_event::room_missing
                                                            : request_event::engines_overloaded;
 }
 
+std::string relayed_request::urgency_text() const
+{
+    return plan_.urgency.has_value() ? std::to_string(*plan_.urgency) : "none";
+}
+
 std::optional<target_record> relayed_request::fitting_standby(const placement& found) const
 {
     // One full engine among others with room is no shortage; it refuses copies itself.
@@ -184,6 +191,7 @@
         host_.count_retry(plan_.service);
     }
     ++offers_;
+    host_.on_placed(plan_);
     // Decremented again if the target rejects the request or can't have received it.
     ++runs_;
     const auto load = loads_.find(placed.target.name);
--- a/src/relay/request_chart.hpp
+++ b/src/relay/request_chart.hpp
@@ -46,6 +46,8 @@
     may_ask,
     events_seen,
     candidates_left,
+    has_turn,
+    may_stay,
 };
 
 /// Actions of the chart `relayed_request`.
@@ -70,6 +72,7 @@
     refuse_quarantined,
     refuse_held,
     refuse_overloaded,
+    refuse_waiting,
     note_rejection,
     note_loss,
     note_failure,
--- a/tests/limits/engine_fleet.hpp
+++ b/tests/limits/engine_fleet.hpp
@@ -7,10 +7,11 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <tuple>
 #include <vector>
 
 #include "core/time.hpp"
-#include "limits/start_policy.hpp"
+#include "limits/engine_admission.hpp"
 
 namespace cyclamen::test {
 
@@ -23,8 +24,16 @@
     const std::size_t away_engines = 0;
     const double away_from = 0.0;
     const double away_until = 0.0;
+    /// Fraction of streams that are urgent and have a goal of 4 s; the others have one of 10 s. All
+    /// have the fleet's goal and no kind if it is empty.
+    const std::function<double(double)> urgent_fraction = {};
+    /// Engines and instances know the urgency of streams.
+    const bool ordered = false;
 };
 
+/// Kinds of streams.
+enum class stream_kind { any, urgent, patient };
+
 /// What became of a stream.
 struct stream_result {
     const double arrived;
@@ -55,6 +64,7 @@
     {
         for (std::size_t i = 0; i < instance_count; ++i) {
             policies_.push_back(make_policy());
+            admissions_.push_back(std::make_unique<limits::engine_admission>(make_policy));
         }
         unread_.assign(instance_count, std::vector<std::uint64_t>(engine_count, 0));
     }
@@ -65,12 +75,17 @@
         double due = 0.0;
         for (now_ms_ = 0; now_ms_ < static_cast<std::uint64_t>(seconds * 1000.0); ++now_ms_) {
             const double now = now_seconds();
+            ordered_ = pattern.ordered;
             set_away(pattern, now);
             if (now_ms_ % report_period_ms == 0) {
                 publish_reports();
             }
             for (due += pattern.streams_per_second(now) / 1000.0; due >= 1.0; due -= 1.0) {
                 arrive();
+                if (pattern.urgent_fraction) {
+                    set_kind(*streams_.back(), pattern.urgent_fraction(now));
+                }
+                place(*streams_.back());
             }
             for (std::size_t each = 0; each < engine_count; ++each) {
                 advance(engines_[each]);
@@ -92,6 +107,17 @@
     {
         return count(from, until, [](const stream&) { return true; });
     }
+    /// @return streams of a kind that arrived in a time span and were on time
+    [[nodiscard]] double on_time_fraction(stream_kind kind, double from, double until) const
+    {
+        const auto is_of_kind = [&](const stream& each) {
+            return kind == stream_kind::any || each.kind == kind;
+        };
+        const std::size_t good = count(
+            from, until, [&](const stream& each) { return is_of_kind(each) && is_on_time(each); });
+        const std::size_t all = count(from, until, is_of_kind);
+        return all == 0 ? 1.0 : static_cast<double>(good) / static_cast<double>(all);
+    }
     [[nodiscard]] std::size_t preempted() const { return preempted_; }
     /// @return refused streams that arrived in a time span, by whether their prompt is long
     [[nodiscard]] double served_fraction(bool long_prompts) const
@@ -121,9 +147,12 @@
 
     struct stream {
         std::uint64_t prompt;
+        std::uint64_t number = 0;
         double arrived;
         std::size_t instance;
         bool refused = false;
+        stream_kind kind = stream_kind::any;
+        core::duration goal = engine_fleet::goal;
         double first_event = -1.0;
         double last_event = -1.0;
         double longest_pause = 0.0;
@@ -143,6 +172,8 @@
         double copies = 0.0;
         bool away = false;
         std::unique_ptr<const limits::engine_load> report;
+        /// Reported tokens of urgent and of patient runs, and the number of the latter.
+        std::tuple<std::uint64_t, std::uint64_t, std::uint32_t> kinds{};
 
         [[nodiscard]] std::uint32_t reading() const
         {
@@ -170,12 +201,15 @@
     std::vector<stream*> waiting_;
     std::mt19937_64 random_{20261205};
     std::size_t preempted_ = 0;
+    bool ordered_ = false;
+    std::vector<std::unique_ptr<limits::engine_admission>> admissions_;
+    const core::service_name service_{"engines"};
 
     [[nodiscard]] double now_seconds() const { return static_cast<double>(now_ms_) / 1000.0; }
 
     static bool is_on_time(const stream& each)
     {
-        return each.done && each.first_event - each.arrived <= core::to_seconds(goal) &&
+        return each.done && each.first_event - each.arrived <= core::to_seconds(each.goal) &&
                each.longest_pause <= max_pause;
     }
 
@@ -235,6 +269,14 @@
                 static_cast<std::uint32_t>(each.queue.size()) + each.reading(),
                 static_cast<std::uint32_t>(each.running.size()) - each.reading(), 0,
                 static_cast<std::uint64_t>(each.used()), memory_tokens, slots});
+            each.kinds = {};
+            for (const stream* run : each.running) {
+                const auto tokens = run->prompt + static_cast<std::uint64_t>(run->written);
+                auto& [urgent_tokens, patient_tokens, patient_runs] = each.kinds;
+                const bool patient = urgency_of(*run) > 0;
+                (patient ? patient_tokens : urgent_tokens) += tokens;
+                patient_runs += patient ? 1 : 0;
+            }
         }
     }
 
@@ -243,9 +285,9 @@
         auto made = std::make_unique<stream>();
         // One stream in five has a long prompt.
         made->prompt = random_() % 5 == 0 ? prompt_tokens * 17 / 10 : prompt_tokens * 9 / 10;
+        made->number = streams_.size() + 1;
         made->arrived = now_seconds();
         made->instance = random_() % instance_count;
-        place(*made);
         streams_.push_back(std::move(made));
     }
 
@@ -257,6 +299,40 @@
             report.memory_used, report.memory_total, report.slots};
     }
 
+    [[nodiscard]] static limits::urgency_rank urgency_of(const stream& of)
+    {
+        return of.kind == stream_kind::patient ? 2 : 0;
+    }
+
+    void set_kind(stream& of, double urgent_fraction)
+    {
+        const bool urgent = static_cast<double>(random_() % 1000) < urgent_fraction * 1000.0;
+        of.kind = urgent ? stream_kind::urgent : stream_kind::patient;
+        of.goal = urgent ? 4000ms : 10000ms;
+        if (ordered_) {
+            admissions_[of.instance]->on_arrival(
+                service_, limits::start_request{of.prompt, output_tokens, of.goal, 0ms, true, 0,
+                                                urgency_of(of)});
+        }
+    }
+
+    /// @return load_of(), with the memory of less and of more urgent streams
+    [[nodiscard]] limits::engine_load load_for(const stream& placed, std::size_t engine) const
+    {
+        const limits::engine_load load = load_of(engine, placed.instance);
+        const auto [urgent_tokens, patient_tokens, patient_runs] = engines_[engine].kinds;
+        const bool urgent = urgency_of(placed) == 0;
+        return limits::engine_load{load.waiting,
+                                   load.running,
+                                   load.unread_tokens,
+                                   load.memory_used,
+                                   load.memory_total,
+                                   load.slots,
+                                   urgent ? patient_tokens : 0,
+                                   urgent ? patient_runs : 0,
+                                   urgent ? 0 : urgent_tokens};
+    }
+
     [[nodiscard]] double cost_of(std::size_t engine, std::size_t instance) const
     {
         const limits::engine_load load = load_of(engine, instance);
@@ -281,13 +357,18 @@
         const double waited = now_seconds() - placed.arrived;
         const limits::start_request request{placed.prompt,
                                             output_tokens,
-                                            goal,
+                                            placed.goal,
                                             core::from_seconds(waited),
                                             waited < max_search && may_wait(placed),
-                                            random_()};
-        const limits::engine_load load = load_of(asked[0], placed.instance);
+                                            random_(),
+                                            ordered_ ? std::optional{urgency_of(placed)}
+                                                     : std::nullopt};
+        const limits::engine_load load = load_for(placed, asked[0]);
         limits::start_policy& policy = *policies_[placed.instance];
-        const limits::start_decision decision = policy.decide(request, load);
+        const limits::start_decision decision =
+            ordered_ ? admissions_[placed.instance]->decide(service_, placed.number, request, load,
+                                                            core::instant{now_ms_ * 1ms})
+                     : policy.decide(request, load);
         if (decision.verdict == limits::start_verdict::start) {
             open(placed, asked[0], load);
             const bool has_room = std::any_of(asked.begin(), asked.end(), [&](std::size_t each) {
@@ -319,7 +400,7 @@
         opened.opened = now_seconds();
         opened.load_at_start = std::make_unique<const limits::engine_load>(load);
         unread_[opened.instance][engine] += opened.prompt;
-        engines_[engine].queue.push_back(&opened);
+        enqueue(engines_[engine], opened, false);
     }
 
     void release(stream& released)
@@ -347,6 +428,7 @@
         if (each.away) {
             return;
         }
+        make_room(each);
         admit(each);
         each.step_left -= 1.0;
         if (each.step_left > 0.0 || each.running.empty()) {
@@ -368,11 +450,43 @@
             }
         }
         while (each.used() > static_cast<double>(memory_tokens) && each.running.size() > 1) {
-            stream* newest = each.running.back();
-            each.running.pop_back();
-            newest->read = 0.0;
-            each.queue.push_front(newest);
-            ++preempted_;
+            preempt(each);
+        }
+    }
+
+    /// Preempts the newest of the least urgent streams.
+    void preempt(engine& each)
+    {
+        std::size_t at = each.running.size() - 1;
+        for (std::size_t i = each.running.size(); ordered_ && i-- > 0;) {
+            at = urgency_of(*each.running[i]) > urgency_of(*each.running[at]) ? i : at;
+        }
+        stream* yielding = each.running[at];
+        each.running.erase(each.running.begin() + static_cast<std::ptrdiff_t>(at));
+        yielding->read = 0.0;
+        enqueue(each, *yielding, true);
+        ++preempted_;
+    }
+
+    void enqueue(engine& at, stream& added, bool first)
+    {
+        const auto place = std::find_if(at.queue.begin(), at.queue.end(), [&](const stream* each) {
+            return ordered_ && (first ? urgency_of(*each) >= urgency_of(added)
+                                      : urgency_of(*each) > urgency_of(added));
+        });
+        at.queue.insert(!ordered_ && first ? at.queue.begin() : place, &added);
+    }
+
+    /// Makes room for the first stream of the queue if less urgent ones have it.
+    void make_room(engine& each)
+    {
+        while (ordered_ && !each.queue.empty() &&
+               each.used() + static_cast<double>(each.queue.front()->prompt) >
+                   static_cast<double>(memory_tokens) &&
+               std::any_of(each.running.begin(), each.running.end(), [&](const stream* run) {
+                   return urgency_of(*run) > urgency_of(*each.queue.front());
+               })) {
+            preempt(each);
         }
     }
 
@@ -392,8 +506,10 @@
         if (run.first_event < 0.0) {
             release(run);
             run.first_event = now;
-            policies_[run.instance]->on_first_event(limits::start_observation{
-                run.prompt, *run.load_at_start, core::from_seconds(now - run.opened)});
+            const limits::start_observation seen{run.prompt, *run.load_at_start,
+                                                 core::from_seconds(now - run.opened)};
+            policies_[run.instance]->on_first_event(seen);
+            admissions_[run.instance]->on_first_event(service_, seen);
         }
         else {
             run.longest_pause = std::max(run.longest_pause, now - run.last_event);
@@ -405,6 +521,8 @@
             drop_copy(run);
             std::erase(each.running, &run);
             policies_[run.instance]->on_finished(core::from_seconds(now - run.first_event));
+            admissions_[run.instance]->on_finished(service_,
+                                                   core::from_seconds(now - run.first_event));
         }
     }
 };
--- a/tests/relay/test_fixture.hpp
+++ b/tests/relay/test_fixture.hpp
@@ -11,7 +11,7 @@
 
 #include "chart/library.hpp"
 #include "core/clock.hpp"
-#include "limits/on_time_start.hpp"
+#include "limits/ordered_start.hpp"
 #include "relay/least_work_chooser.hpp"
 #include "relay/relay_manager.hpp"
 
@@ -31,7 +31,7 @@
           manager_{settings_,
                    load_charts(),
                    std::make_unique<relay::least_work_chooser>(settings_.placement),
-                   [] { return std::make_unique<limits::on_time_start>(); },
+                   [] { return std::make_unique<limits::ordered_start>(); },
                    std::make_unique<relay::progress_silence_policy>(),
                    static_cast<relay::relay_host&>(*this)}
     {
