limits: memory is kept free for urgent requests only while engines lack room

Cause: with urgent requests in the majority a less urgent one found no room on an idle engine (urgency_test, engines_are_told_the_urgency_of_first_and_of_resumed_attempts). Change: the reserve follows from how often engines had no room; tests of the waiting line in the relay.

--- a/src/limits/ordered_start.cpp
+++ b/src/limits/ordered_start.cpp
@@ -97,7 +97,7 @@
 {
     const double before = share_before(*request.urgency);
     const double most = std::max(before, 1.0 - settings_.min_share * (1.0 - before));
-    const double wanted = before + scarcity_ * (most - before);
+    const double wanted = std::min(1.0, scarcity_ / settings_.full_scarcity) * most;
     return before > 0.0 ? std::max(0.0, wanted * static_cast<double>(load.memory_total) -
                                             static_cast<double>(load.urgent_tokens))
                         : 0.0;
--- a/src/limits/ordered_start.hpp
+++ b/src/limits/ordered_start.hpp
@@ -11,6 +11,9 @@
     /// Fraction of its share of requests that a kind may use at least, however many more urgent
     /// ones come.
     const double min_share = 0.4;
+    /// Fraction of requests for which engines have no room from which on all that less urgent kinds
+    /// may use beyond that is kept free for the others.
+    const double full_scarcity = 0.5;
     /// Fraction of the goal for which a request looks for free memory before it takes that of less
     /// urgent ones, whose prompts are read again.
     const double yield_after_fraction = 0.25;
--- a/tests/relay/urgency_test.cpp
+++ b/tests/relay/urgency_test.cpp
@@ -47,6 +47,16 @@
         {make_route("/u/", 0, 4s), make_route("/p/", 2, 10s)}, {make_account("1", std::nullopt)})});
 }
 
+/// All engines report eight runs with this memory.
+void report_memory_used(relay_fixture& fixture, std::uint64_t memory_used)
+{
+    fixture.loads.clear();
+    for (int i = 0; i < 3; ++i) {
+        fixture.loads.emplace("t-" + std::to_string(i),
+                              relay::reported_load{0, 8, memory_used, 50000, {}, false});
+    }
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_CASE(urgency_is_the_rank_of_the_account_or_else_of_the_route)
@@ -89,3 +99,67 @@
     BOOST_TEST(fixture.last_attempt().last_event.value_or("") == "3");
     BOOST_TEST((fixture.last_attempt().urgency == 2U));
 }
+
+BOOST_AUTO_TEST_CASE(waiting_streams_start_in_order_of_urgency)
+{
+    relay_fixture fixture;
+    apply_unequal_routes(fixture);
+    report_memory_used(fixture, 49000);
+    fixture.submit(1, "/p/x");
+    fixture.submit(2, "/p/x");
+    fixture.submit(3, "/u/x");
+    BOOST_TEST(relay_fixture::count<relay::answer_refused>(fixture.to_entries) == 0U);
+    BOOST_TEST(relay_fixture::count<relay::open_attempt>(fixture.to_targets) == 0U);
+    // Runs have ended.
+    report_memory_used(fixture, 0);
+    fixture.advance(120ms);
+    BOOST_REQUIRE(relay_fixture::count<relay::open_attempt>(fixture.to_targets) > 0U);
+    const auto first =
+        std::find_if(fixture.to_targets.begin(), fixture.to_targets.end(), [](const auto& each) {
+            return std::holds_alternative<relay::open_attempt>(*each);
+        });
+    BOOST_TEST((std::get<relay::open_attempt>(**first).urgency == 0U));
+    fixture.advance(500ms);
+    BOOST_TEST(relay_fixture::count<relay::open_attempt>(fixture.to_targets) == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(a_waiting_stream_is_refused_when_it_can_no_longer_be_on_time)
+{
+    relay_fixture fixture;
+    apply_unequal_routes(fixture);
+    report_memory_used(fixture, 49000);
+    fixture.submit(1, "/u/x");
+    fixture.submit(2, "/p/x");
+    fixture.advance(2600ms);
+    BOOST_REQUIRE(relay_fixture::count<relay::answer_refused>(fixture.to_entries) == 1U);
+    const auto* refused = relay_fixture::find_last<relay::answer_refused>(fixture.to_entries);
+    BOOST_TEST(refused->caller.value() == 1U);
+    BOOST_TEST(refused->reason.not_run);
+    BOOST_TEST((refused->reason.retry_after > 0s));
+    // The goal of the other one is longer.
+    fixture.advance(3000ms);
+    BOOST_TEST(relay_fixture::count<relay::answer_refused>(fixture.to_entries) == 1U);
+    fixture.advance(1000ms);
+    BOOST_TEST(relay_fixture::count<relay::answer_refused>(fixture.to_entries) == 2U);
+    BOOST_TEST(fixture.open_requests() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(a_more_urgent_stream_takes_the_last_place_of_a_full_line)
+{
+    relay_fixture fixture;
+    apply_unequal_routes(fixture);
+    report_memory_used(fixture, 49000);
+    for (std::uint64_t caller = 1; caller <= 4; ++caller) {
+        fixture.submit(caller, "/p/x");
+    }
+    BOOST_TEST(relay_fixture::count<relay::answer_refused>(fixture.to_entries) == 0U);
+    fixture.submit(5, "/p/x");
+    BOOST_TEST(relay_fixture::count<relay::answer_refused>(fixture.to_entries) == 1U);
+    fixture.submit(6, "/u/x");
+    fixture.advance(200ms);
+    BOOST_TEST(relay_fixture::count<relay::answer_refused>(fixture.to_entries) == 2U);
+    BOOST_TEST(fixture.open_requests() == 4U);
+    fixture.handle(relay::caller_gone{relay::caller_id{6}});
+    fixture.submit(7, "/p/x");
+    BOOST_TEST(relay_fixture::count<relay::answer_refused>(fixture.to_entries) == 2U);
+}
