--- a/cmake/library.cmake
+++ b/cmake/library.cmake
@@ -24,7 +24,8 @@
 endfunction()
 
 # cyclamencourse_test(NAME LIBRARY...): builds test_NAME, the test program of library cyclamen_NAME,
-# from all .cpp files of tests/NAME and links it to LIBRARY...; its CTest entry leaves out known failures
+# from all .cpp files of tests/NAME and links it to LIBRARY...; its CTest entry passes
+# test_NAME_OPTIONS and leaves out known failures
 function(cyclamencourse_test NAME)
   file(GLOB SOURCES CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/tests/${NAME}/*.cpp)
   add_executable(test_${NAME} ${SOURCES})
@@ -33,6 +34,6 @@
     CYCLAMENCOURSE_SOURCE_DIR="${CMAKE_SOURCE_DIR}")
   target_link_libraries(test_${NAME} PRIVATE cyclamen_${NAME} ${ARGN} Boost::unit_test_framework rapidcheck)
   cyclamencourse_known_red(test_${NAME} KNOWN_RED)
-  add_test(NAME ${NAME} COMMAND test_${NAME} --log_level=message ${KNOWN_RED})
+  add_test(NAME ${NAME} COMMAND test_${NAME} --log_level=message ${test_${NAME}_OPTIONS} ${KNOWN_RED})
   set_tests_properties(${NAME} PROPERTIES TIMEOUT 120 ENVIRONMENT "RC_PARAMS=seed=20261204")
 endfunction()
--- a/src/soak/child_process.hpp
+++ b/src/soak/child_process.hpp
@@ -23,6 +23,9 @@
     child_process(child_process&& other) noexcept;
     child_process& operator=(child_process&& other) noexcept;
 
+    /// @return its process id
+    [[nodiscard]] pid_t id() const { return pid_; }
+
     /// Sends a signal; has no effect if the process has ended.
     void send_signal(int signal_number);
 
