--- a/src/http/front_task.cpp
+++ b/src/http/front_task.cpp
@@ -52,7 +52,9 @@
 {
     auto listening = server::listen(
         loop(), settings_.listen,
-        server_settings{message_limits{.max_body_bytes = settings_.max_body_bytes}}, *this);
+        server_settings{.messages = message_limits{.max_body_bytes = settings_.max_body_bytes},
+                        .max_descriptor = settings_.max_descriptor},
+        *this);
     if (!listening.ok()) {
         return listening.status();
     }
--- a/src/http/front_task.hpp
+++ b/src/http/front_task.hpp
@@ -7,6 +7,7 @@
 
 #include "api/caller_messages.hpp"
 #include "core/cell.hpp"
+#include "core/descriptor_limit.hpp"
 #include "http/completion_codec.hpp"
 #include "http/server.hpp"
 #include "http/sse.hpp"
@@ -20,6 +21,8 @@
     const core::socket_address listen;
     /// Maximum size of a request body; larger ones are rejected.
     const std::size_t max_body_bytes;
+    /// Descriptor number from which on new connections displace idle ones.
+    const int max_descriptor = core::descriptor_limit() / 4 * 3;
 
     auto operator<=>(const front_settings&) const = default;
 };
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -8,18 +8,15 @@
 #include "core/error.hpp"
 #include "core/log.hpp"
 #include "core/text.hpp"
+#include "http/response_encoder.hpp"
+#include "http/server_connection.hpp"
 #include "http/tcp_acceptor.hpp"
-#include "http/tcp_stream.hpp"
 #include "task/h2o.hpp"
 
 namespace cyclamen::http {
 
 namespace {
 
-constexpr int status_no_content = 204;
-constexpr int status_not_modified = 304;
-constexpr int first_final_status = 200;
-
 /// Time in which the first request of a new connection is expected while the server closes.
 constexpr core::duration first_request_time = std::chrono::milliseconds{250};
 
@@ -29,33 +26,27 @@
 /// Maximum input buffered for further requests on a connection while a request is answered.
 constexpr std::size_t max_buffered_input_bytes = 64 * 1024;
 
-/// Unsent output of a connection from which on the output of all connections is added up.
-constexpr std::size_t long_output_bytes = 64 * 1024;
-
-using connection_number = core::number<struct connection_number_tag>;
+/// Minimum time between two log lines about connections that were closed for lack of room.
+constexpr core::duration log_interval = std::chrono::seconds{1};
 
-std::string encode_chunk(std::string_view bytes, bool last)
-{
-    std::string text;
-    if (!bytes.empty()) {
-        text = fmt::format("{:x}\r\n{}\r\n", bytes.size(), bytes);
-    }
-    return last ? text + "0\r\n\r\n" : text;
-}
+/// Requests that are not answered may hold this part of what unsent responses may.
+constexpr std::size_t input_part = 2;
 
-bool has_no_body(int status)
+std::shared_ptr<limits::memory_ledger> make_ledger(const server_settings& settings)
 {
-    return status < first_final_status || status == status_no_content ||
-           status == status_not_modified;
+    return std::make_shared<limits::memory_ledger>(
+        limits::memory_limits{.max_input_bytes = settings.max_total_unsent_bytes / input_part,
+                              .max_output_bytes = settings.max_total_unsent_bytes});
 }
 
 } // namespace
 
 /// Owns the connections of a server.
-class server::implementation final : private acceptor_listener {
+class server::implementation final : private acceptor_listener, private detail::connection_owner {
   public:
-    implementation(task::event_loop& loop, const server_settings& settings, server_handler& handler)
-        : loop_{loop}, handler_{handler}, settings_{settings}
+    implementation(task::event_loop& loop, const server_settings& settings, server_handler& handler,
+                   std::shared_ptr<limits::memory_ledger> ledger)
+        : loop_{loop}, handler_{handler}, settings_{settings}, ledger_{std::move(ledger)}
     {
         schedule_timeout_check();
     }
@@ -139,10 +130,7 @@
             drop(*found, true);
             return;
         }
-        if (connection* sending = find(id);
-            sending != nullptr && sending->stream.unsent() >= long_output_bytes) {
-            limit_unsent_bytes();
-        }
+        limit_memory(*found);
     }
 
     void respond(exchange_id id, const response_head& head, std::string_view body)
@@ -156,11 +144,8 @@
             text += body;
         }
         found->stream.write(text);
-        const bool is_long = found->stream.unsent() >= long_output_bytes;
         finish(*found);
-        if (is_long) {
-            limit_unsent_bytes();
-        }
+        limit_memory(*found);
     }
 
     void abort(exchange_id id)
@@ -174,67 +159,23 @@
     [[nodiscard]] std::size_t open_exchanges() const { return exchanges_.size(); }
 
   private:
-    struct connection final : stream_listener {
-        connection(implementation& owning, connection_number own, h2o_socket_t* accepted)
-            : owner{owning}, number{own}, stream{accepted,
-                                                 owning.settings_.get().unacknowledged_timeout,
-                                                 *this},
-              waiting_since{owning.loop_.now()},
-              request_timeout{owning.settings_.get().request_timeout},
-              idle_timeout{owning.settings_.get().idle_timeout}
-        {
-        }
-
-        implementation& owner;
-        const connection_number number;
-        tcp_stream stream;
-        /// Start of the wait to which a time limit applies.
-        core::instant waiting_since;
-        /// Time limits that were in force then.
-        core::duration request_timeout;
-        core::duration idle_timeout;
-        std::unique_ptr<request_reader> reader;
-        std::optional<exchange_id> exchange;
-        bool head_sent = false;
-        bool chunked = false;
-        bool omits_body = false;
-        bool is_head_request = false;
-        bool accepts_chunked = true;
-        bool keep_alive = true;
-        bool continue_sent = false;
-        /// A request was received on the connection.
-        bool was_used = false;
-        /// Closes the connection as soon as all output is written.
-        bool close_when_sent = false;
-
-        [[nodiscard]] bool is_idle() const
-        {
-            return !exchange.has_value() && reader == nullptr && !close_when_sent &&
-                   stream.input().empty();
-        }
-
-        void on_bytes() override { owner.read(*this); }
-        void on_sent() override
-        {
-            if (close_when_sent) {
-                owner.connections_.erase(connection_number{number});
-            }
-            else if (!exchange.has_value() && reader == nullptr) {
-                owner.begin_wait(*this);
-            }
-        }
-        void on_end(close_reason /*end*/) override { owner.drop(*this, true); }
-    };
+    using connection = detail::server_connection;
+    using connection_number = detail::connection_number;
 
     task::event_loop& loop_;
     server_handler& handler_;
     core::cell<server_settings> settings_;
+    std::shared_ptr<limits::memory_ledger> ledger_;
     std::unique_ptr<tcp_acceptor> acceptor_;
     std::map<connection_number, std::unique_ptr<connection>> connections_;
     std::map<exchange_id, connection*> exchanges_;
     connection_number last_number_;
     exchange_id last_exchange_;
     task::timer_id timeout_check_;
+    /// When a connection that was closed for lack of room was last logged, and how many were not
+    /// logged since.
+    core::instant logged_at_;
+    std::size_t unlogged_ = 0;
     bool closing_ = false;
     bool keep_alive_disabled_ = false;
 
@@ -247,27 +188,91 @@
     void on_accepted(h2o_socket_t* socket) override
     {
         last_number_ = last_number_.next();
-        auto created = std::make_unique<connection>(*this, last_number_, socket);
+        auto created = std::make_unique<connection>(static_cast<detail::connection_owner&>(*this),
+                                                    last_number_, socket, settings_.get(), ledger_,
+                                                    loop_.now());
+        const bool is_full = connections_.size() >= settings_.get().max_connections ||
+                             created->stream.descriptor() >= settings_.get().max_descriptor;
+        if (is_full && !displace_connection()) {
+            log_closed("connection_refused", *created, {});
+            return;
+        }
         created->stream.start_reading();
         connections_.emplace(last_number_, std::move(created));
     }
 
+    /// Closes the connection that has waited longest for its peer.
+    /// @return false if requests are being answered on all of them
+    bool displace_connection()
+    {
+        const core::instant now = loop_.now();
+        connection* chosen = nullptr;
+        for (const auto& [number, each] : connections_) {
+            const bool is_older = chosen == nullptr || each->waiting_since < chosen->waiting_since;
+            if (is_older && each->may_be_displaced(now)) {
+                chosen = each.get();
+            }
+        }
+        if (chosen == nullptr) {
+            return false;
+        }
+        log_closed("connection_displaced", *chosen, {});
+        connections_.erase(connection_number{chosen->number});
+        return true;
+    }
+
+    void on_bytes(connection& peer) override { read(peer); }
+
+    void on_progress(connection& peer) override
+    {
+        peer.progressed_at = loop_.now();
+        peer.count_memory(loop_.now());
+        resume_reading(peer);
+    }
+
+    void on_sent(connection& peer) override
+    {
+        if (peer.close_when_sent) {
+            connections_.erase(connection_number{peer.number});
+            return;
+        }
+        peer.count_memory(loop_.now());
+        if (!peer.exchange.has_value() && peer.reader == nullptr) {
+            peer.begin_wait(settings_.get(), loop_.now());
+            resume_reading(peer);
+        }
+    }
+
+    void on_end(connection& peer) override { drop(peer, true); }
+
+    void on_give_up(connection& peer, const limits::held_memory& held) override
+    {
+        log_closed("response_unsent", peer, held);
+        drop(peer, true);
+    }
+
+    void resume_reading(connection& peer)
+    {
+        if (!peer.exchange.has_value() && !peer.close_when_sent && peer.may_read()) {
+            peer.stream.start_reading();
+            read(peer);
+        }
+    }
+
     void read(connection& peer)
     {
-        if (peer.exchange.has_value() || peer.close_when_sent) {
-            if (peer.stream.input().size() > max_buffered_input_bytes) {
+        const bool answers = peer.exchange.has_value() || peer.close_when_sent;
+        if (answers || (peer.reader == nullptr && !peer.may_read())) {
+            if (!answers || peer.stream.input().size() > max_buffered_input_bytes) {
                 peer.stream.stop_reading();
             }
+            limit_memory(peer);
             return;
         }
         if (peer.stream.input().empty()) {
             return;
         }
-        if (peer.reader == nullptr) {
-            peer.reader = std::make_unique<request_reader>(settings_.get().messages);
-            begin_wait(peer);
-        }
-        peer.stream.consume(peer.reader->feed(peer.stream.input()));
+        peer.feed_reader(settings_.get(), loop_.now());
         const int error_status = peer.reader->error_status();
         if (error_status != 0) {
             reject(peer, error_status);
@@ -278,11 +283,21 @@
                 peer.continue_sent = true;
                 peer.stream.write("HTTP/1.1 100 Continue\r\n\r\n");
             }
+            limit_memory(peer);
             return;
         }
         begin_exchange(peer);
     }
 
+    /// Counts what a connection holds, and closes connections if all hold too much. The connection
+    /// may have ended when it returns.
+    void limit_memory(connection& peer)
+    {
+        const core::instant now = loop_.now();
+        peer.count_memory(now);
+        ledger_->enforce(now);
+    }
+
     void begin_exchange(connection& peer)
     {
         last_exchange_ = last_exchange_.next();
@@ -294,8 +309,8 @@
         peer.continue_sent = false;
         peer.accepts_chunked = peer.reader->accepts_chunked();
         peer.keep_alive = peer.reader->keep_alive();
-        const request received = peer.reader->take();
-        peer.reader.reset();
+        const request received = peer.take_request();
+        peer.count_memory(loop_.now());
         peer.is_head_request = received.method == "HEAD";
         exchanges_.emplace(id, &peer);
         handler_.on_request(id, received);
@@ -312,33 +327,25 @@
         // body.
         peer.keep_alive = peer.keep_alive && !keep_alive_disabled_ &&
                           (length.has_value() || peer.accepts_chunked || peer.omits_body);
-        std::string text =
-            core::concat("HTTP/1.1 ", head.status, " ", reason_phrase(head.status), "\r\n");
-        for (const header& field : head.headers) {
-            core::append(text, field.name, ": ", field.value, "\r\n");
-        }
-        if (length.has_value() && !has_no_body(head.status)) {
-            core::append(text, "content-length: ", *length, "\r\n");
-        }
-        else if (peer.chunked && !peer.omits_body) {
-            text += "transfer-encoding: chunked\r\n";
-        }
-        if (!peer.keep_alive) {
-            text += "connection: close\r\n";
-        }
-        text += "\r\n";
-        return text;
+        return encode_head(
+            head, response_framing{length, peer.chunked, peer.omits_body, peer.keep_alive});
     }
 
     void finish(connection& peer)
     {
         exchanges_.erase(*peer.exchange);
         peer.exchange.reset();
-        begin_wait(peer);
+        peer.begin_wait(settings_.get(), loop_.now());
         if (!peer.keep_alive || keep_alive_disabled_) {
             close_after_sending(peer);
             return;
         }
+        peer.request_bytes = 0;
+        peer.count_memory(loop_.now());
+        if (!peer.may_read()) {
+            peer.stream.stop_reading();
+            return;
+        }
         peer.stream.start_reading();
         if (!peer.stream.input().empty()) {
             // The next request was received already. It is read later, as the handler must not be
@@ -355,7 +362,7 @@
     void close_after_sending(connection& peer)
     {
         peer.close_when_sent = true;
-        begin_wait(peer);
+        peer.begin_wait(settings_.get(), loop_.now());
         if (peer.stream.unsent() == 0) {
             // The owner may be in a callback of this connection, which must return first.
             loop_.run_after(core::duration::zero(),
@@ -387,26 +394,25 @@
         }
     }
 
-    /// Closes the connections with the most unsent bytes until the rest is within the limit.
-    void limit_unsent_bytes()
+    /// Logs that a connection was closed for lack of room, at most once per interval.
+    void log_closed(std::string_view event, const connection& closed,
+                    const limits::held_memory& held)
     {
-        std::size_t total = 0;
-        for (const auto& [number, each] : connections_) {
-            total += each->stream.unsent();
-        }
-        while (total > settings_.get().max_total_unsent_bytes) {
-            const auto largest = std::max_element(
-                connections_.begin(), connections_.end(), [](const auto& left, const auto& right) {
-                    return left.second->stream.unsent() < right.second->stream.unsent();
-                });
-            const std::size_t unsent = largest->second->stream.unsent();
-            core::log_event(core::log_level::warning, "response_unsent",
-                            {{"unsent_bytes", unsent},
-                             {"all_unsent_bytes", total},
-                             {"connections", connections_.size()}});
-            total -= unsent;
-            drop(*largest->second, true);
+        const core::instant now = loop_.now();
+        if (now - logged_at_ < log_interval) {
+            ++unlogged_;
+            return;
         }
+        core::log_event(core::log_level::warning, event,
+                        {{"peer", core::to_string(closed.stream.peer())},
+                         {"request_bytes", held.input},
+                         {"unsent_bytes", held.output},
+                         {"all_request_bytes", ledger_->input_bytes()},
+                         {"all_unsent_bytes", ledger_->output_bytes()},
+                         {"connections", connections_.size()},
+                         {"not_logged", unlogged_}});
+        logged_at_ = now;
+        unlogged_ = 0;
     }
 
     void schedule_timeout_check()
@@ -426,37 +432,12 @@
                          {"unread_bytes", expired.stream.has_unread_bytes()}});
     }
 
-    /// Starts the time limits of a connection that waits for its peer.
-    void begin_wait(connection& peer)
-    {
-        peer.waiting_since = loop_.now();
-        peer.request_timeout = settings_.get().request_timeout;
-        peer.idle_timeout = settings_.get().idle_timeout;
-    }
-
-    /// @return true if the peer has exceeded the time limits. A limit that was in force when the
-    /// wait began holds until the end of the wait, because the peer may rely on it.
-    [[nodiscard]] bool is_expired(const connection& checked, core::instant now) const
-    {
-        if (checked.exchange.has_value()) {
-            return false;
-        }
-        const bool transfers =
-            checked.reader != nullptr || checked.close_when_sent || checked.stream.unsent() > 0;
-        const core::duration timeout =
-            transfers ? std::max(checked.request_timeout, settings_.get().request_timeout)
-                      : std::max(checked.idle_timeout, settings_.get().idle_timeout);
-        // Bytes that have arrived but were not read yet may complete a request.
-        return now - checked.waiting_since > timeout &&
-               (checked.close_when_sent || !checked.stream.has_unread_bytes());
-    }
-
     void check_timeouts()
     {
         const core::instant now = loop_.now();
         for (auto it = connections_.begin(); it != connections_.end();) {
             const connection& checked = *it->second;
-            const bool expired = is_expired(checked, now);
+            const bool expired = checked.is_expired(settings_.get(), now);
             if (expired) {
                 log_expiry(checked, now - checked.waiting_since);
             }
@@ -466,12 +447,13 @@
     }
 };
 
-absl::StatusOr<std::unique_ptr<server>> server::listen(task::event_loop& loop,
-                                                       const core::socket_address& address,
-                                                       const server_settings& settings,
-                                                       server_handler& handler)
+absl::StatusOr<std::unique_ptr<server>>
+server::listen(task::event_loop& loop, const core::socket_address& address,
+               const server_settings& settings, server_handler& handler,
+               std::shared_ptr<limits::memory_ledger> ledger)
 {
-    auto created = std::make_unique<implementation>(loop, settings, handler);
+    auto created = std::make_unique<implementation>(
+        loop, settings, handler, ledger == nullptr ? make_ledger(settings) : std::move(ledger));
     const absl::Status listening = created->listen(address);
     if (!listening.ok()) {
         return listening;
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <limits>
 #include <memory>
 #include <string_view>
 
@@ -10,6 +11,7 @@
 #include "core/time.hpp"
 #include "http/http_types.hpp"
 #include "http/message_reader.hpp"
+#include "limits/memory_ledger.hpp"
 #include "task/event_loop.hpp"
 
 namespace cyclamen::http {
@@ -39,9 +41,16 @@
     const core::duration unacknowledged_timeout = std::chrono::seconds{30};
     /// Maximum unsent response bytes per connection; the connection is closed above this.
     const std::size_t max_unsent_bytes = 8 * 1024 * 1024;
-    /// Maximum unsent response bytes of all connections; the one with the most is closed above
-    /// this.
+    /// Maximum unsent response bytes of all connections, unless a ledger is shared; above this
+    /// those that limits::memory_ledger chooses are closed. Requests in progress may hold half as
+    /// much.
     const std::size_t max_total_unsent_bytes = 64 * 1024 * 1024;
+    /// Maximum number of connections; above this the one that has waited longest for a request is
+    /// closed.
+    const std::size_t max_connections = std::numeric_limits<std::size_t>::max();
+    /// Descriptor number from which on a new connection displaces another one in the same way, so
+    /// that descriptors remain for other uses.
+    const int max_descriptor = std::numeric_limits<int>::max();
 
     auto operator<=>(const server_settings&) const = default;
 };
@@ -54,10 +63,13 @@
     /// @param address address to listen on
     /// @param settings size and time limits
     /// @param handler receives the requests; must outlive the server
+    /// @param ledger counts the memory held for callers, together with that of other servers of
+    ///        the thread; null for a ledger of its own
     /// @return the server, or unavailable if the address can't be bound
     [[nodiscard]] static absl::StatusOr<std::unique_ptr<server>>
     listen(task::event_loop& loop, const core::socket_address& address,
-           const server_settings& settings, server_handler& handler);
+           const server_settings& settings, server_handler& handler,
+           std::shared_ptr<limits::memory_ledger> ledger = nullptr);
 
     ~server();
     server(const server&) = delete;
--- a/src/http/tcp_stream.cpp
+++ b/src/http/tcp_stream.cpp
@@ -4,6 +4,8 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
+#include <array>
 #include <cerrno>
 #include <cstring>
 
@@ -19,11 +21,27 @@
 /// otherwise grow them to tens of megabytes for a peer that sends faster than it is read.
 constexpr int max_unread_bytes = 256 * 1024;
 
+/// Maximum number of bytes that are written at a time, so that progress shows.
+constexpr std::size_t max_write_bytes = 64 * 1024;
+
+/// Maximum number of bytes that the operating system accepts beyond what the peer has room for.
+constexpr int max_unsent_bytes = 128 * 1024;
+
+/// Releases the memory of an empty buffer, unless it is small.
+void release(std::string& empty)
+{
+    if (empty.capacity() > max_write_bytes) {
+        empty = std::string{};
+    }
+}
+
 void set_options(int descriptor, core::duration unacknowledged_timeout)
 {
     const int on = 1;
     ::setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
     ::setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &max_unread_bytes, sizeof(max_unread_bytes));
+    ::setsockopt(descriptor, IPPROTO_TCP, TCP_NOTSENT_LOWAT, &max_unsent_bytes,
+                 sizeof(max_unsent_bytes));
     const auto timeout_ms = static_cast<unsigned>(
         std::chrono::duration_cast<std::chrono::milliseconds>(unacknowledged_timeout).count());
     ::setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms, sizeof(timeout_ms));
@@ -96,6 +114,23 @@
     return ::recv(h2o_socket_get_fd(socket_), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
+core::socket_address tcp_stream::peer() const
+{
+    sockaddr_in address{};
+    socklen_t size = sizeof(address);
+    std::array<char, INET_ADDRSTRLEN> text{};
+    if (::getpeername(descriptor(), reinterpret_cast<sockaddr*>(&address), &size) != 0 ||
+        ::inet_ntop(AF_INET, &address.sin_addr, text.data(), text.size()) == nullptr) {
+        return {};
+    }
+    return {text.data(), ntohs(address.sin_port)};
+}
+
+int tcp_stream::descriptor() const
+{
+    return h2o_socket_get_fd(socket_);
+}
+
 std::string_view tcp_stream::input() const
 {
     return {socket_->input->bytes, socket_->input->size};
@@ -118,7 +153,23 @@
 
 void tcp_stream::send_pending()
 {
-    state_->in_flight.swap(pending_);
+    const std::size_t remaining = pending_.size() - pending_begin_;
+    if (pending_begin_ == 0 && remaining <= max_write_bytes) {
+        state_->in_flight.swap(pending_);
+    }
+    else {
+        const std::size_t size = std::min(remaining, max_write_bytes);
+        state_->in_flight.assign(pending_, pending_begin_, size);
+        pending_begin_ += size;
+        // Erasing at half of the text keeps the cost proportional to its size.
+        if (pending_begin_ >= pending_.size() / 2) {
+            pending_.erase(0, pending_begin_);
+            pending_begin_ = 0;
+            if (pending_.empty()) {
+                release(pending_);
+            }
+        }
+    }
     h2o_iovec_t bytes = h2o_iovec_init(state_->in_flight.data(), state_->in_flight.size());
     h2o_socket_write(socket_, &bytes, 1, on_written);
 }
@@ -163,6 +214,7 @@
         return;
     }
     state->in_flight.clear();
+    release(state->in_flight);
     if (error != nullptr) {
         self->stop_reading();
         self->listener_.on_end(close_reason::broken);
@@ -170,6 +222,7 @@
     }
     if (!self->pending_.empty()) {
         self->send_pending();
+        self->listener_.on_progress();
         return;
     }
     self->listener_.on_sent();
--- a/src/http/tcp_stream.hpp
+++ b/src/http/tcp_stream.hpp
@@ -35,6 +35,9 @@
     /// More bytes are available in input().
     virtual void on_bytes() = 0;
 
+    /// A part of the bytes written so far was handed to the operating system.
+    virtual void on_progress() {}
+
     /// All bytes written so far were handed to the operating system.
     virtual void on_sent() {}
 
@@ -42,7 +45,7 @@
     virtual void on_end(close_reason end) = 0;
 };
 
-/// A TCP connection over an h2o socket, with an unbounded write buffer.
+/// A TCP connection over an h2o socket, with an unbounded write buffer that is written in parts.
 class tcp_stream {
   public:
     /// Takes ownership of an accepted socket.
@@ -71,7 +74,16 @@
     void write(std::string_view bytes);
 
     /// @return number of bytes not yet handed to the operating system
-    [[nodiscard]] std::size_t unsent() const { return state_->in_flight.size() + pending_.size(); }
+    [[nodiscard]] std::size_t unsent() const
+    {
+        return state_->in_flight.size() + pending_.size() - pending_begin_;
+    }
+
+    /// @return address of the peer; port 0 if the connection has ended
+    [[nodiscard]] core::socket_address peer() const;
+
+    /// @return descriptor of the socket
+    [[nodiscard]] int descriptor() const;
 
     /// @return true if the operating system holds bytes that were received but not read yet
     [[nodiscard]] bool has_unread_bytes() const;
@@ -97,6 +109,8 @@
     st_h2o_socket_t* socket_;
     stream_listener& listener_;
     std::string pending_;
+    /// Number of bytes of `pending_` that were passed on already.
+    std::size_t pending_begin_ = 0;
     std::unique_ptr<socket_state> state_;
     bool connected_;
 
--- a/src/replica/replica_task.cpp
+++ b/src/replica/replica_task.cpp
@@ -33,9 +33,11 @@
 }
 
 replica_task::replica_task(task::task_host& host, replica_settings settings,
-                           const replica_charts& charts, replica_listener& listener)
-    : basic_task{"replica", &host}, settings_{std::move(settings)}, listener_{listener},
-      source_{settings_.source, charts.source, static_cast<replica_source_host&>(*this)},
+                           const replica_charts& charts, replica_listener& listener,
+                           std::shared_ptr<limits::memory_ledger> ledger)
+    : basic_task{"replica", &host}, settings_{std::move(settings)}, ledger_{std::move(ledger)},
+      listener_{listener}, source_{settings_.source, charts.source,
+                                   static_cast<replica_source_host&>(*this)},
       freshness_{settings_.max_age, charts.freshness, static_cast<freshness_host&>(*this)},
       timer_{loop(), [this] {
                  source_.on_timer(now());
@@ -60,8 +62,9 @@
 
 absl::Status replica_task::on_start()
 {
-    auto server = http::server::listen(loop(), settings_.feed, http::server_settings{},
-                                       static_cast<http::server_handler&>(*this));
+    auto server = http::server::listen(
+        loop(), settings_.feed, http::server_settings{.max_connections = settings_.max_connections},
+        static_cast<http::server_handler&>(*this), ledger_);
     if (!server.ok()) {
         return server.status();
     }
--- a/src/replica/replica_task.hpp
+++ b/src/replica/replica_task.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -41,6 +42,8 @@
     const core::duration restore_settle_time = std::chrono::seconds{2};
     /// Maximum number of pending queries of other instances; more are rejected.
     const std::size_t max_waiting = 256;
+    /// Maximum number of connections of other instances.
+    const std::size_t max_connections = std::numeric_limits<std::size_t>::max();
 
     auto operator<=>(const replica_settings&) const = default;
 };
@@ -66,8 +69,11 @@
     /// @param settings settings of the task
     /// @param charts charts of the task
     /// @param listener receives changes of the tables; must outlive the task
+    /// @param ledger counts the memory held for callers of all listeners of the thread; null for a
+    ///        ledger of its own
     replica_task(task::task_host& host, replica_settings settings, const replica_charts& charts,
-                 replica_listener& listener);
+                 replica_listener& listener,
+                 std::shared_ptr<limits::memory_ledger> ledger = nullptr);
     ~replica_task() override;
 
     /// Sets the receiver of follow_tables. Must be called before the host starts.
@@ -81,6 +87,7 @@
     };
 
     const replica_settings settings_;
+    const std::shared_ptr<limits::memory_ledger> ledger_;
     replica_listener& listener_;
     replica_source source_;
     copy_freshness freshness_;
