--- a/src/http/front_task.cpp
+++ b/src/http/front_task.cpp
@@ -53,7 +53,7 @@
     auto listening = server::listen(
         loop(), settings_.listen,
         server_settings{.messages = message_limits{.max_body_bytes = settings_.max_body_bytes},
-                        .max_descriptor = settings_.max_descriptor},
+                        .max_connections = settings_.max_connections},
         *this);
     if (!listening.ok()) {
         return listening.status();
--- a/src/http/front_task.hpp
+++ b/src/http/front_task.hpp
@@ -21,8 +21,9 @@
     const core::socket_address listen;
     /// Maximum size of a request body; larger ones are rejected.
     const std::size_t max_body_bytes;
-    /// Descriptor number from which on new connections displace idle ones.
-    const int max_descriptor = core::descriptor_limit() / 4 * 3;
+    /// Maximum number of connections; above this new ones displace idle ones. The other descriptors
+    /// are for targets and instances.
+    const std::size_t max_connections = static_cast<std::size_t>(core::descriptor_limit()) / 2;
 
     auto operator<=>(const front_settings&) const = default;
 };
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -191,9 +191,7 @@
         auto created = std::make_unique<connection>(static_cast<detail::connection_owner&>(*this),
                                                     last_number_, socket, settings_.get(), ledger_,
                                                     loop_.now());
-        const bool is_full = connections_.size() >= settings_.get().max_connections ||
-                             created->stream.descriptor() >= settings_.get().max_descriptor;
-        if (is_full && !displace_connection()) {
+        if (connections_.size() >= settings_.get().max_connections && !displace_connection()) {
             log_closed("connection_refused", *created, {});
             return;
         }
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -48,9 +48,6 @@
     /// Maximum number of connections; above this the one that has waited longest for a request is
     /// closed.
     const std::size_t max_connections = std::numeric_limits<std::size_t>::max();
-    /// Descriptor number from which on a new connection displaces another one in the same way, so
-    /// that descriptors remain for other uses.
-    const int max_descriptor = std::numeric_limits<int>::max();
 
     auto operator<=>(const server_settings&) const = default;
 };
