--- a/src/http/front_task.hpp
+++ b/src/http/front_task.hpp
@@ -7,6 +7,7 @@
 
 #include "api/caller_messages.hpp"
 #include "core/cell.hpp"
+#include "core/descriptor_limit.hpp"
 #include "http/completion_codec.hpp"
 #include "http/server.hpp"
 #include "http/sse.hpp"
@@ -20,6 +21,9 @@
     const core::socket_address listen;
     /// Maximum size of a request body; larger ones are rejected.
     const std::size_t max_body_bytes;
+    /// Maximum number of connections; above this new ones displace idle ones. The other descriptors
+    /// are for targets and instances.
+    const std::size_t max_connections = static_cast<std::size_t>(core::descriptor_limit()) / 2;
 
     auto operator<=>(const front_settings&) const = default;
 };
