relay: calls to plain services wait for a share where instances outnumber slots

Cause: a rejected call went to the targets again within 10 ms, from every instance, and filled their queues. Change: short calls of services without engines ask limits::shared_send for their turn; the state awaiting_turn holds those that wait. Targets' slots are decoded from the list of targets. In force only where a service's listed slots are fewer than the instances.

--- a/src/limits/immediate_send.hpp
+++ b/src/limits/immediate_send.hpp
@@ -12,6 +12,8 @@
         return send_decision{send_verdict::send, request.targets.front(), now,
                              core::duration::zero()};
     }
+    [[nodiscard]] bool limits_at(core::instant /*now*/) const override { return false; }
+    [[nodiscard]] double rate_of(const core::target_name& /*target*/) const override { return 0.0; }
     void on_sent(const core::target_name& /*target*/, core::instant /*now*/) override {}
     void on_answered(const core::target_name& /*target*/, core::duration /*goal*/,
                      core::duration /*took*/, core::instant /*now*/) override
--- a/src/limits/send_policy.hpp
+++ b/src/limits/send_policy.hpp
@@ -59,6 +59,12 @@
     /// @return whether it is sent, and to which of its targets
     [[nodiscard]] virtual send_decision decide(const send_request& request, core::instant now) = 0;
 
+    /// @return true if calls need a share; otherwise each is sent to the first of its targets
+    [[nodiscard]] virtual bool limits_at(core::instant now) const = 0;
+    /// @return calls a second that may be sent to a target while calls need a share, 0 if there is
+    ///         no bound
+    [[nodiscard]] virtual double rate_of(const core::target_name& target) const = 0;
+
     /// A call was sent to a target.
     virtual void on_sent(const core::target_name& target, core::instant now) = 0;
     /// A target has answered a call.
--- a/src/limits/share_settings.hpp
+++ b/src/limits/share_settings.hpp
@@ -24,10 +24,11 @@
     /// Shortest time between two decreases of a target's rate: the queue that a decrease shortens
     /// answers a goal later.
     const double decrease_pause_goals = 2.0;
+    const core::duration max_decrease_pause = std::chrono::seconds{1};
     /// Calls that may be sent to a target at once after a pause.
     const double burst = 1.25;
     /// An answer is slow if it took this fraction of its goal, and several times the usual time.
-    const double slow_goal_fraction = 0.8;
+    const double slow_goal_fraction = 0.7;
     const double slow_factor = 2.0;
     /// Usual time of a call before any was answered, as a fraction of the goal.
     const double assumed_goal_fraction = 0.25;
@@ -36,7 +37,7 @@
     /// The limit is lifted when for this time no target was full or slow and no call waited.
     const core::duration quiet_time = std::chrono::seconds{3};
     /// Calls that may wait.
-    const std::size_t max_waiting = 32;
+    const std::size_t max_waiting = 16;
     /// Calls that may wait although their answer will be late.
     const std::size_t max_late = 2;
     /// Places that they leave free.
--- a/src/limits/shared_send.cpp
+++ b/src/limits/shared_send.cpp
@@ -100,7 +100,8 @@
     }
     pressed_at_ = now;
     const auto found = shares_.find(target);
-    const core::duration pause = core::fraction_of(goal_, settings_.decrease_pause_goals);
+    const core::duration pause = std::min(core::fraction_of(goal_, settings_.decrease_pause_goals),
+                                          settings_.max_decrease_pause);
     if (found != shares_.end() && now - found->second.decreased_at >= pause) {
         share& full = found->second;
         full.rate = std::max(settings_.min_rate, full.rate * settings_.decrease);
--- a/src/limits/shared_send.hpp
+++ b/src/limits/shared_send.hpp
@@ -18,6 +18,8 @@
     explicit shared_send(const share_settings& settings = {}) : settings_{settings} {}
 
     [[nodiscard]] send_decision decide(const send_request& request, core::instant now) override;
+    [[nodiscard]] bool limits_at(core::instant now) const override;
+    [[nodiscard]] double rate_of(const core::target_name& target) const override;
     void on_sent(const core::target_name& target, core::instant now) override;
     void on_answered(const core::target_name& target, core::duration goal, core::duration took,
                      core::instant now) override;
@@ -31,10 +33,6 @@
     /// @return true if the targets have fewer slots than there are instances, so that the even
     ///         share of an instance is less than one call at a time
     [[nodiscard]] bool applies() const;
-    /// @return true if calls need a share
-    [[nodiscard]] bool limits_at(core::instant now) const;
-    /// @return calls a second that may be sent to a target while calls need a share
-    [[nodiscard]] double rate_of(const core::target_name& target) const;
     /// @return lowest value of rate_of()
     [[nodiscard]] double min_rate_of(const core::target_name& target) const;
     /// @return calls that wait
--- a/src/relay/relay_manager.cpp
+++ b/src/relay/relay_manager.cpp
@@ -5,6 +5,7 @@
 #include "core/hash.hpp"
 #include "core/log.hpp"
 #include "core/text.hpp"
+#include "limits/shared_send.hpp"
 
 namespace cyclamen::relay {
 
@@ -21,7 +22,9 @@
                              std::unique_ptr<silence_policy> silence, relay_host& host)
     : settings_{settings}, charts_{charts}, host_{host}, targets_{settings_, charts.target_health,
                                                                   std::move(chooser)},
-      budget_{settings.retries}, admission_{std::move(make_start_policy)},
+      budget_{settings.retries}, admission_{std::move(make_start_policy)}, shares_{[] {
+          return std::make_unique<limits::shared_send>();
+      }},
       silence_{std::move(silence)}, lifecycle_{settings.lifecycle, charts.lifecycle, *this},
       members_{settings_.name, settings_.watch}, crashes_{settings_.crashes}
 {
@@ -171,6 +174,7 @@
 void relay_manager::on(const targets_listed& update)
 {
     targets_.on_targets(update, now_);
+    update_shares();
     check_ready();
 }
 
@@ -283,6 +287,7 @@
     if (found->second->is_closed()) {
         const request_plan& plan = found->second->plan();
         admission_.on_ended(plan.service, number.value());
+        shares_.on_ended(plan.service, number.value());
         callers_.erase(plan.submitted.caller);
         requests_.erase(found);
     }
@@ -324,7 +329,7 @@
             targets_listed{
                 false,
                 {target_record{report.name, former.service, former.address, former.domain,
-                               former.version, report.load.started_at, 0, false}},
+                               former.version, report.load.started_at, 0, false, former.slots}},
                 {}},
             now_);
     }
--- a/src/relay/relay_manager.hpp
+++ b/src/relay/relay_manager.hpp
@@ -8,6 +8,7 @@
 #include "core/cell.hpp"
 #include "limits/engine_admission.hpp"
 #include "relay/answer_baseline.hpp"
+#include "relay/call_shares.hpp"
 #include "relay/crash_review.hpp"
 #include "relay/entry_lifecycle.hpp"
 #include "relay/messages.hpp"
@@ -75,6 +76,7 @@
     target_directory targets_;
     retry_budget budget_;
     limits::engine_admission admission_;
+    call_shares shares_;
     const std::unique_ptr<silence_policy> silence_;
     relay_metrics metrics_;
     entry_lifecycle lifecycle_;
@@ -178,6 +180,11 @@
                     core::duration took) override;
     void on_run_finished(const request_plan& plan, core::duration run_time) override;
     [[nodiscard]] limits::start_request start_request_of(const request_plan& plan) const;
+    /// Passes the listed targets of plain services to their send policies.
+    void update_shares();
+    std::optional<call_turn> turn_of(const request_plan& plan,
+                                     const placement_query& query) override;
+    void on_rejected(const request_plan& plan, const core::target_name& target) override;
     bool may_retry(const core::service_name& service) override;
     void count_retry(const core::service_name& service) override;
     void send(entry_command command) override;
--- a/src/relay/relay_manager_members.cpp
+++ b/src/relay/relay_manager_members.cpp
@@ -21,6 +21,7 @@
     const std::vector<member> members = members_.members();
     core::log_event(core::log_level::info, "instances_listed", {{"count", members.size()}});
     budget_.set_instances(members.size());
+    shares_.set_instances(members.size(), now_);
     targets_.on_members(members);
     publish_directory();
     if (!next_watch_at_.has_value()) {
--- a/src/relay/relay_manager_requests.cpp
+++ b/src/relay/relay_manager_requests.cpp
@@ -69,6 +69,7 @@
 void relay_manager::on_opened(const placement& placed, std::uint64_t prompt_tokens)
 {
     targets_.on_opened(placed, prompt_tokens);
+    shares_.on_sent(placed.target.service, placed.target.name, now_);
 }
 
 void relay_manager::on_first_event(const core::target_name& target, std::uint64_t prompt_tokens)
@@ -99,6 +100,7 @@
 void relay_manager::on_loss(const core::target_name& target)
 {
     targets_.on_loss(target, now_);
+    shares_.on_lost(target, now_);
 }
 
 void relay_manager::on_success(const core::target_name& target)
@@ -109,6 +111,7 @@
 void relay_manager::on_misdirected(const target_record& listed)
 {
     targets_.on_misdirected(listed.name);
+    update_shares();
     const service_traits* traits = table_->find_service(listed.service);
     if (traits != nullptr && traits->engine.has_value()) {
         host_.send(identify_target{listed, traits->health_path});
--- a/src/relay/relay_manager_rollouts.cpp
+++ b/src/relay/relay_manager_rollouts.cpp
@@ -97,6 +97,10 @@
 void relay_manager::on_attempt_outcome(const request_plan& plan, const target_record& target,
                                        core::duration waited, bool failed)
 {
+    if (!failed) {
+        shares_.on_answered(plan.service, target.name, plan.matched_route.answer_goal, waited,
+                            now_);
+    }
     const auto found = rollouts_.find(plan.service);
     const bool is_new =
         found != rollouts_.end() && target.version == found->second->order().version;
--- a/src/relay/relayed_request.cpp
+++ b/src/relay/relayed_request.cpp
@@ -13,6 +13,9 @@
 /// Lowest HTTP status that reports a failure of the target.
 constexpr int first_failure_status = 500;
 
+/// HTTP status by which a full target rejects a request.
+constexpr int full_status = 503;
+
 /// Disables a timer: the answer limit always expires first.
 constexpr core::duration no_limit = std::chrono::hours{1};
 
@@ -87,6 +90,9 @@
     else if (!placed_->get().from_copy) {
         ++rejections_;
     }
+    if (rejection.status == full_status && !rejection.misdirected) {
+        host_.on_rejected(plan_, placed_->get().target.name);
+    }
     --runs_;
     raise(request_event::attempt_rejected, now);
 }
@@ -196,6 +202,8 @@
         return settings_.placement_pause;
     case request_timeout::survey_limit:
         return settings_.survey_limit * (1 << unanswered_surveys_);
+    case request_timeout::turn_pause:
+        return turn_at_ - now_;
     case request_timeout::room_pause:
         return settings_.room_pause;
     case request_timeout::offer_pause:
@@ -321,6 +329,9 @@
     case request_action::refuse_overloaded:
         refuse_overloaded();
         break;
+    case request_action::refuse_without_share:
+        refuse_without_share();
+        break;
     case request_action::refuse_quarantined:
         refuse_quarantined();
         break;
--- a/src/relay/relayed_request.hpp
+++ b/src/relay/relayed_request.hpp
@@ -10,6 +10,7 @@
 #include "chart/timer_set.hpp"
 #include "core/cell.hpp"
 #include "limits/start_policy.hpp"
+#include "relay/call_turn.hpp"
 #include "relay/crash_review.hpp"
 #include "relay/messages.hpp"
 #include "relay/placement.hpp"
@@ -76,6 +77,15 @@
     /// @return true if an engine has room for a copy of the request's memory
     virtual bool has_room_for_copy(const request_plan& plan, const limits::engine_load& load) = 0;
 
+    /// @param plan a call to a plain service
+    /// @param query what it requires of a target
+    /// @return whether it is sent now, empty if no suitable target is listed
+    virtual std::optional<call_turn> turn_of(const request_plan& plan,
+                                             const placement_query& query) = 0;
+
+    /// A target was full and has not run the request.
+    virtual void on_rejected(const request_plan& plan, const core::target_name& target) = 0;
+
     /// @return true if the retry budget of the service allows one more attempt
     virtual bool may_retry(const core::service_name& service) = 0;
 
@@ -209,6 +219,8 @@
     std::optional<core::cell<limits::engine_load>> start_load_;
     /// Delay for the caller if the request is refused for lack of room.
     core::duration overload_retry_after_{};
+    /// When a call that waits for its turn asks again.
+    core::instant turn_at_;
     std::optional<core::instant> first_event_at_;
     std::set<core::target_name> tried_;
     std::optional<core::failure_domain_name> lost_domain_;
@@ -277,7 +289,9 @@
     [[nodiscard]] bool is_new_work() const;
     /// @return true if the request could be sent to another target than the current one
     [[nodiscard]] bool has_other_target() const;
+    [[nodiscard]] request_event take_turn();
     void refuse_overloaded();
+    void refuse_without_share();
     void start_attempt();
     void begin_answer();
     void deliver_events();
--- a/src/relay/relayed_request_placement.cpp
+++ b/src/relay/relayed_request_placement.cpp
@@ -57,6 +57,10 @@
             pending_candidates_.empty() ? missing_target_event() : request_event::candidates_found;
         return;
     }
+    if (!plan_.engine.has_value() && plan_.matched_route.kind != request_kind::streaming) {
+        follow_up_ = take_turn();
+        return;
+    }
     const auto found = host_.place(make_query());
     if (!found.has_value()) {
         follow_up_ = missing_target_event();
--- a/src/relay/target.hpp
+++ b/src/relay/target.hpp
@@ -23,6 +23,8 @@
     const std::uint64_t sequence;
     /// True if the target has announced that it accepts no new work.
     const bool leaving;
+    /// Requests that the target runs at the same time, 0 if unknown.
+    const std::uint32_t slots = 0;
 
     auto operator<=>(const target_record&) const = default;
 };
--- a/src/relay/target_directory.hpp
+++ b/src/relay/target_directory.hpp
@@ -82,6 +82,10 @@
     /// @return true if that incarnation of a target is listed and not leaving
     [[nodiscard]] bool is_serving(const target_record& target, core::instant now);
 
+    /// @return the listed targets of a service that are not leaving
+    [[nodiscard]] std::vector<target_record>
+    serving_targets(const core::service_name& service) const;
+
     /// @return the work that this instance has on a target; none if it is not listed
     [[nodiscard]] local_work work_on(const core::target_name& target) const;
 
--- a/src/relay/target_directory_notices.cpp
+++ b/src/relay/target_directory_notices.cpp
@@ -42,6 +42,19 @@
            known->health->current_readiness(now) != routing::readiness::leaving;
 }
 
+std::vector<target_record>
+target_directory::serving_targets(const core::service_name& service) const
+{
+    std::vector<target_record> serving;
+    for (const auto& [name, known] : targets_) {
+        const target_record& record = known.record.get();
+        if (record.service == service && !record.leaving) {
+            serving.push_back(record);
+        }
+    }
+    return serving;
+}
+
 void target_directory::note_left(const target_record& record)
 {
     constexpr std::size_t max_left = 1024;
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -199,6 +199,22 @@
         "i-1", R"({"backend":"s","address":"10.0.0.1:80","state":"draining","zone":"z","born":5})");
     BOOST_REQUIRE(good.ok());
     BOOST_TEST(good->leaving);
+    BOOST_TEST(good->slots == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(slots_of_a_runner_are_decoded)
+{
+    const auto slots_of = [](const std::string& slots) {
+        return platform::decode_target(
+            "i-1",
+            R"({"backend":"s","address":"10.0.0.1:80","state":"ready","slots":)" + slots + "}");
+    };
+    BOOST_REQUIRE(slots_of("6").ok());
+    BOOST_TEST(slots_of("6")->slots == 6U);
+    for (const char* odd : {"-1", "\"six\"", "null", "[6]", "1e300"}) {
+        BOOST_REQUIRE(slots_of(odd).ok());
+        BOOST_TEST(slots_of(odd)->slots <= 65536U);
+    }
 }
 
 BOOST_AUTO_TEST_CASE(store_rows_are_decoded_including_removed_ones)
