--- a/src/relay/target_directory.hpp
+++ b/src/relay/target_directory.hpp
@@ -87,6 +87,10 @@
     /// @return expected time factor of a target, 1 if it is not listed
     [[nodiscard]] double pace_of(const core::target_name& target, core::instant now) const;
 
+    /// @return the listed targets of a service that are not leaving
+    [[nodiscard]] std::vector<target_record>
+    serving_targets(const core::service_name& service) const;
+
     /// @return the work that this instance has on a target; none if it is not listed
     [[nodiscard]] local_work work_on(const core::target_name& target) const;
 
