--- a/tests/platform/broken_answer_test.cpp
+++ b/tests/platform/broken_answer_test.cpp
@@ -62,6 +62,8 @@
 
 } // namespace
 
+BOOST_AUTO_TEST_SUITE(broken_answers, *boost::unit_test::label("broken_answers"))
+
 BOOST_AUTO_TEST_CASE(an_answer_whose_head_is_cut_never_reaches_the_caller_as_a_success)
 {
     platform_fixture fixture;
@@ -159,3 +161,5 @@
         }
     }
 }
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/relay/pace_replay_test.cpp
+++ b/tests/relay/pace_replay_test.cpp
@@ -161,9 +161,7 @@
 
 } // namespace
 
-// Listed in KNOWN-RED.txt.
-BOOST_AUTO_TEST_CASE(fewer_requests_are_late_on_engines_of_unequal_speed,
-                     *boost::unit_test::disabled())
+BOOST_AUTO_TEST_CASE(fewer_requests_are_late_on_engines_of_unequal_speed)
 {
     const uneven_pattern pattern{{0.6, 1.0, 1.6}, 4.0};
     uneven_fleet learning{pattern, std::make_unique<routing::learnt_pace>()};
