relay: the route's rank decides among accounts of equal rank

Cause: all accounts of a deployment had priority 1, which replaced that of the routes, so no request had an urgency of its own. Change: the account's rank goes before the route's instead of replacing it; an urgency is the place among the ranks of a service with engines.

--- a/src/relay/relay_manager.cpp
+++ b/src/relay/relay_manager.cpp
@@ -139,7 +139,8 @@
                       now_,
                       accused,
                       is_trial,
-                      table_->urgency_of(service, *matched_route, account)};
+                      has_engine ? table_->urgency_of(service, *matched_route, account)
+                                 : std::nullopt};
     on_arrival(plan);
     auto made =
         std::make_unique<relayed_request>(std::move(plan), settings_.requests, charts_.request,
--- a/src/relay/route_table.cpp
+++ b/src/relay/route_table.cpp
@@ -7,8 +7,7 @@
 route_table::route_table(core::revision revision, std::vector<route> routes,
                          std::vector<service_traits> services, std::vector<account> accounts,
                          caller_limits limits)
-    : revision_{revision}, routes_{std::move(routes)}, ordered_services_{find_ordered_services(
-                                                           routes_, accounts)},
+    : revision_{revision}, routes_{std::move(routes)}, ranks_{find_ranks(routes_, accounts)},
       needs_keys_{!accounts.empty()}, limits_{limits}
 {
     for (const service_traits& each : services) {
@@ -43,44 +42,46 @@
     return found == keys_.end() ? nullptr : &found->second;
 }
 
-std::set<core::service_name>
-route_table::find_ordered_services(const std::vector<route>& routes,
-                                   const std::vector<account>& accounts)
+route_table::request_rank route_table::rank_of(const route& matched_route,
+                                               const std::optional<std::uint32_t>& account_rank)
 {
-    std::map<core::service_name, std::set<limits::urgency_rank>> ranks;
+    return {account_rank.value_or(matched_route.rank), matched_route.rank};
+}
+
+std::map<core::service_name, std::set<route_table::request_rank>>
+route_table::find_ranks(const std::vector<route>& routes, const std::vector<account>& accounts)
+{
+    std::map<core::service_name, std::set<request_rank>> ranks;
     for (const route& each : routes) {
-        std::set<limits::urgency_rank> of_route;
+        std::set<request_rank> of_route;
         if (each.is_public || accounts.empty()) {
-            of_route.insert(limits::bounded_urgency(each.rank));
+            of_route.insert(rank_of(each, std::nullopt));
         }
         else {
             for (const account& caller : accounts) {
-                of_route.insert(limits::bounded_urgency(caller.rank.value_or(each.rank)));
+                of_route.insert(rank_of(each, caller.rank));
             }
         }
         for (const weighted_service& target : each.services) {
             ranks[target.service].insert(of_route.begin(), of_route.end());
         }
     }
-    std::set<core::service_name> ordered;
-    for (const auto& [service, found] : ranks) {
-        if (found.size() > 1) {
-            ordered.insert(service);
-        }
-    }
-    return ordered;
+    return ranks;
 }
 
 std::optional<limits::urgency_rank> route_table::urgency_of(const core::service_name& service,
                                                             const route& matched_route,
                                                             const core::account_name& account) const
 {
-    if (!ordered_services_.contains(service)) {
+    const auto ranks = ranks_.find(service);
+    if (ranks == ranks_.end() || ranks->second.size() < 2) {
         return std::nullopt;
     }
-    const auto rank = account_ranks_.find(account);
-    return limits::bounded_urgency(rank == account_ranks_.end() ? matched_route.rank
-                                                                : rank->second);
+    const auto found = account_ranks_.find(account);
+    const request_rank own = rank_of(
+        matched_route, found == account_ranks_.end() ? std::nullopt : std::optional{found->second});
+    const auto before = std::distance(ranks->second.begin(), ranks->second.lower_bound(own));
+    return limits::bounded_urgency(static_cast<std::uint32_t>(before));
 }
 
 const service_traits* route_table::find_unique_service(const std::vector<std::string>& models) const
--- a/src/relay/route_table.hpp
+++ b/src/relay/route_table.hpp
@@ -8,6 +8,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "core/identifier.hpp"
@@ -139,7 +140,8 @@
     /// @param service service of a request
     /// @param matched_route its route
     /// @param account its account, empty on a public route
-    /// @return its urgency, 0 first; empty if no requests of the service differ in urgency
+    /// @return its place among the ranks of the service's requests, 0 first: the account's rank
+    ///         decides, and the route's among accounts of equal rank; empty if all are equal
     [[nodiscard]] std::optional<limits::urgency_rank>
     urgency_of(const core::service_name& service, const route& matched_route,
                const core::account_name& account) const;
@@ -160,14 +162,17 @@
     std::map<core::service_name, service_traits> services_;
     std::map<std::string, core::account_name> keys_;
     std::map<core::account_name, std::uint32_t> account_ranks_;
-    /// Services whose requests differ in urgency.
-    std::set<core::service_name> ordered_services_;
+    /// Rank of a request's account, or else of its route, and rank of its route.
+    using request_rank = std::pair<std::uint32_t, std::uint32_t>;
+    /// Ranks that the requests of a service can have.
+    std::map<core::service_name, std::set<request_rank>> ranks_;
     bool needs_keys_;
     caller_limits limits_;
 
-    /// @return services to which routes or accounts of unequal ranks send requests
-    [[nodiscard]] static std::set<core::service_name>
-    find_ordered_services(const std::vector<route>& routes, const std::vector<account>& accounts);
+    [[nodiscard]] static request_rank rank_of(const route& matched_route,
+                                              const std::optional<std::uint32_t>& account_rank);
+    [[nodiscard]] static std::map<core::service_name, std::set<request_rank>>
+    find_ranks(const std::vector<route>& routes, const std::vector<account>& accounts);
 };
 
 using route_table_ptr = std::shared_ptr<const route_table>;
