http: buffered requests are handled before more is read; pace events named in the log calls

The names of two log events stood in an expression and in a folder that the check of the operations page didn't read.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -252,11 +252,22 @@
     void resume_reading(connection& peer)
     {
         if (!peer.exchange.has_value() && !peer.close_when_sent && peer.may_read()) {
-            peer.stream.start_reading();
+            continue_reading(peer);
             read(peer);
         }
     }
 
+    /// Reads from the socket unless many received bytes are still to be handled.
+    static void continue_reading(connection& peer)
+    {
+        if (peer.stream.input().size() <= max_buffered_input_bytes) {
+            peer.stream.start_reading();
+        }
+        else {
+            peer.stream.stop_reading();
+        }
+    }
+
     void read(connection& peer)
     {
         const bool answers = peer.exchange.has_value() || peer.close_when_sent;
@@ -277,6 +288,7 @@
             return;
         }
         if (!peer.reader->is_complete()) {
+            peer.stream.start_reading();
             if (peer.reader->has_head() && peer.reader->expects_continue() && !peer.continue_sent) {
                 peer.continue_sent = true;
                 peer.stream.write("HTTP/1.1 100 Continue\r\n\r\n");
@@ -344,7 +356,7 @@
             peer.stream.stop_reading();
             return;
         }
-        peer.stream.start_reading();
+        continue_reading(peer);
         if (!peer.stream.input().empty()) {
             // The next request was received already. It is read later, as the handler must not be
             // called from within a call of the owner.
--- a/src/routing/learnt_pace.cpp
+++ b/src/routing/learnt_pace.cpp
@@ -183,12 +183,17 @@
     const bool crosses = known.logged_slow ? factor < recovered_factor : factor >= slow_factor;
     if (crosses) {
         known.logged_slow = !known.logged_slow;
-        core::log_event(core::log_level::info,
-                        known.logged_slow ? "target_slow" : "target_pace_recovered",
-                        {{"target", target.str()},
-                         {"pace", factor},
-                         {"weight", known.pace.weight(now, settings_)},
-                         {"takes_well", known.limit.value(now, settings_)}});
+        const std::initializer_list<core::log_field> fields{
+            {"target", target.str()},
+            {"pace", factor},
+            {"weight", known.pace.weight(now, settings_)},
+            {"takes_well", known.limit.value(now, settings_)}};
+        if (known.logged_slow) {
+            core::log_event(core::log_level::info, "target_slow", fields);
+        }
+        else {
+            core::log_event(core::log_level::info, "target_pace_recovered", fields);
+        }
     }
 }
 
--- a/tests/platform/operations_test.cpp
+++ b/tests/platform/operations_test.cpp
@@ -34,7 +34,7 @@
 std::string relay_sources()
 {
     std::string text;
-    for (const char* folder : {"platform", "src/relay", "src/replica"}) {
+    for (const char* folder : {"platform", "src/relay", "src/replica", "src/routing"}) {
         for (const auto& each : std::filesystem::directory_iterator{root / folder}) {
             if (each.path().extension() == ".cpp") {
                 text += read_file(each.path());
