--- a/src/http/tcp_stream.cpp
+++ b/src/http/tcp_stream.cpp
@@ -23,6 +23,9 @@
 /// otherwise grow them to tens of megabytes for a peer that sends faster than it is read.
 constexpr int max_unread_bytes = 256 * 1024;
 
+/// The same for an accepted connection: there are many of them, and a caller may send ahead.
+constexpr int max_unread_accepted_bytes = 64 * 1024;
+
 /// Maximum number of bytes that are written at a time, so that progress shows.
 constexpr std::size_t max_write_bytes = 64 * 1024;
 
@@ -37,11 +40,11 @@
     }
 }
 
-void set_options(int descriptor, core::duration unacknowledged_timeout)
+void set_options(int descriptor, core::duration unacknowledged_timeout, int unread_bytes)
 {
     const int on = 1;
     ::setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
-    ::setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &max_unread_bytes, sizeof(max_unread_bytes));
+    ::setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &unread_bytes, sizeof(unread_bytes));
     ::setsockopt(descriptor, IPPROTO_TCP, TCP_NOTSENT_LOWAT, &max_unsent_bytes,
                  sizeof(max_unsent_bytes));
     const auto timeout_ms = static_cast<unsigned>(
@@ -64,7 +67,8 @@
 {
     state_->stream = this;
     socket_->data = state_.get();
-    set_options(h2o_socket_get_fd(socket_), unacknowledged_timeout);
+    set_options(h2o_socket_get_fd(socket_), unacknowledged_timeout,
+                connected ? max_unread_accepted_bytes : max_unread_bytes);
 }
 
 absl::StatusOr<std::unique_ptr<tcp_stream>>
