--- /dev/null
+++ b/review/lib-2/cases.cpp
@@ -0,0 +1,397 @@
+#include <signal.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cstdlib>
+#include <filesystem>
+#include <iostream>
+
+#include "harness.hpp"
+
+/// @file
+/// Runs one case of the second review: cases CASE RECORD TROUBLE. Exit status 1 if the rule was
+/// broken, 0 if it held, 2 if the case couldn't run.
+
+namespace review {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+enum class verdict { held = 0, broken = 1, could_not_run = 2 };
+
+/// What the case is run with.
+struct setting {
+    const std::string folder;
+    recorder& record;
+    const bool trouble;
+    /// Outlives the case, since threads of the stand-ins use it.
+    std::unique_ptr<deployment>& fleet;
+
+    /// @return a deployment that has started, null if it can't
+    [[nodiscard]] deployment* start(const runner_settings& engine, const runner_settings& plain,
+                                    int timeout_ms) const
+    {
+        fleet = std::make_unique<deployment>(folder, record, engine, plain, timeout_ms);
+        return fleet->start() ? fleet.get() : nullptr;
+    }
+};
+
+/// A request of a caller on a channel that it has used before.
+struct call {
+    std::string id;
+    bool passed_on = false;
+    bool answered = false;
+    int status = 0;
+    bool channel_ended = false;
+    milliseconds took{0};
+};
+
+/// Sends one call on a kept channel and waits for its answer.
+call send_call(connection& on, const std::string& path, const std::string& id, int deadline_ms,
+               milliseconds patience, recorder& record)
+{
+    call made{id};
+    on.set_read_limit(patience);
+    record.add("caller sends " + id + " " + path);
+    const auto begin = clock::now();
+    on.send(encode_request("POST", path, id, deadline_ms, {}, "notice"));
+    const auto answer = on.read_message();
+    made.took = std::chrono::duration_cast<milliseconds>(clock::now() - begin);
+    made.answered = answer.has_value();
+    made.status = made.answered ? answer->status() : 0;
+    made.channel_ended = !made.answered && on.is_closed();
+    record.add("caller of " + id +
+               (made.answered ? " has the answer " + std::to_string(made.status)
+                              : std::string{made.channel_ended ? " sees its channel end unanswered"
+                                                               : " has no answer"}) +
+               " after " + std::to_string(made.took.count()) + " ms");
+    return made;
+}
+
+bool was_passed_on(const std::vector<std::unique_ptr<runner>>& runners, const std::string& id)
+{
+    return std::any_of(runners.begin(), runners.end(), [&](const auto& each) {
+        const auto arrivals = each->arrivals();
+        return std::any_of(arrivals.begin(), arrivals.end(),
+                           [&](const arrival& seen) { return seen.id == id; });
+    });
+}
+
+/// @return the runner whose address the request names as the holder of its copy, null if none
+runner* standby_of(deployment& fleet, const std::string& id)
+{
+    for (const auto& each : fleet.engines()) {
+        for (const arrival& seen : each->arrivals()) {
+            if (seen.id != id) {
+                continue;
+            }
+            const std::string address = seen.request.field("x-cyclamencourse-kv-backup");
+            const auto found =
+                std::find_if(fleet.engines().begin(), fleet.engines().end(),
+                             [&](const auto& other) { return other->address() == address; });
+            return found == fleet.engines().end() ? nullptr : found->get();
+        }
+    }
+    return nullptr;
+}
+
+/// A stream whose id isn't UTF-8, whose standby leaves as planned; beside it other callers' calls.
+verdict run_odd_id(const setting& with)
+{
+    recorder& record = with.record;
+    runner_settings engine;
+    engine.events = 200;
+    runner_settings plain;
+    plain.work_time = milliseconds{1200};
+    deployment* const started = with.start(engine, plain, 2500);
+    if (started == nullptr) {
+        return verdict::could_not_run;
+    }
+    deployment& fleet = *started;
+    relay_process& process = *fleet.processes().front();
+    constexpr int callers = 8;
+    std::vector<std::unique_ptr<connection>> channels;
+    std::vector<call> first(callers);
+    std::vector<call> second(callers);
+    const auto call_all = [&](std::vector<call>& calls, const std::string& kind) {
+        std::vector<std::thread> threads;
+        for (int i = 0; i < callers; ++i) {
+            threads.emplace_back([&, i] {
+                calls[static_cast<std::size_t>(i)] =
+                    send_call(*channels[static_cast<std::size_t>(i)], "/file/1",
+                              kind + std::to_string(i), 2500, seconds{4}, record);
+            });
+        }
+        return threads;
+    };
+    for (int i = 0; i < callers; ++i) {
+        channels.push_back(connection::open(process.at().entry));
+        if (channels.back() == nullptr) {
+            return verdict::could_not_run;
+        }
+    }
+    for (std::thread& each : call_all(first, "warm-")) {
+        each.join();
+    }
+    const std::string stream_id = with.trouble ? "odd-\xff-id" : "even-id";
+    const auto stream = connection::open(process.at().entry);
+    stream->set_read_limit(seconds{3});
+    stream->send(
+        encode_request("POST", "/draft/1", stream_id, 25000, prompt_fields("e4402b7d"), "draft"));
+    const auto head = stream->read_head();
+    record.add("the stream " + stream_id + " has the status " +
+               std::to_string(head.has_value() ? head->status() : 0));
+    std::this_thread::sleep_for(milliseconds{500});
+    runner* standby = standby_of(fleet, stream_id);
+    if (!head.has_value() || head->status() != 200 || standby == nullptr) {
+        // To refuse such a request is allowed.
+        return with.trouble ? verdict::held : verdict::could_not_run;
+    }
+    auto threads = call_all(second, "call-");
+    std::this_thread::sleep_for(milliseconds{400});
+    standby->list("draining");
+    for (std::thread& each : threads) {
+        each.join();
+    }
+    int cut = 0;
+    for (const call& each : second) {
+        cut += was_passed_on(fleet.services(), each.id) && each.channel_ended ? 1 : 0;
+    }
+    const auto ended = process.ended();
+    record.add("calls passed on from kept channels that ended unanswered: " + std::to_string(cut) +
+               "; process " + process.name() +
+               (ended.has_value() ? " ended by " + *ended : " runs"));
+    return cut > 3 ? verdict::broken : verdict::held;
+}
+
+/// @return a request inside the limit of 16,384 bytes whose head names many connection options
+std::string many_options(bool trouble)
+{
+    constexpr std::size_t head_bytes = 16000;
+    std::string text = "GET /none/ HTTP/1.1\r\nHost: review.example\r\n"
+                       "X-Cyclamencourse-Request-Id: plain-id\r\nConnection: ";
+    if (!trouble) {
+        return text + "keep-alive\r\n\r\n";
+    }
+    while (text.size() < head_bytes / 2) {
+        text += "a,";
+    }
+    text += "a\r\n";
+    while (text.size() < head_bytes) {
+        text += "b:\r\n";
+    }
+    return text + "\r\n";
+}
+
+/// Clients that send long heads; beside them other callers' calls.
+verdict run_long_heads(const setting& with)
+{
+    recorder& record = with.record;
+    constexpr int timeout_ms = 1000;
+    deployment* const started = with.start(runner_settings{}, runner_settings{}, timeout_ms);
+    if (started == nullptr) {
+        return verdict::could_not_run;
+    }
+    deployment& fleet = *started;
+    relay_process& process = *fleet.processes().front();
+    constexpr int senders = 60;
+    constexpr int callers = 12;
+    std::atomic<bool> stopping{false};
+    std::atomic<int> heads_sent{0};
+    std::vector<std::thread> threads;
+    const std::string odd = many_options(with.trouble);
+    record.add("clients: " + std::to_string(senders) + ", head of " + std::to_string(odd.size()) +
+               " bytes");
+    const auto begin = clock::now() + seconds{3};
+    const auto end = begin + seconds{12};
+    for (int i = 0; i < senders; ++i) {
+        threads.emplace_back([&] {
+            std::this_thread::sleep_until(begin);
+            auto channel = connection::open(process.at().entry);
+            while (!stopping && channel != nullptr) {
+                channel->set_read_limit(seconds{20});
+                if (!channel->send(odd) || !channel->read_message().has_value()) {
+                    channel = connection::open(process.at().entry);
+                }
+                ++heads_sent;
+                std::this_thread::sleep_for(milliseconds{200});
+            }
+        });
+    }
+    std::mutex mutex;
+    std::vector<call> calls;
+    std::vector<std::thread> caller_threads;
+    for (int i = 0; i < callers; ++i) {
+        caller_threads.emplace_back([&, i] {
+            auto channel = connection::open(process.at().entry);
+            for (int number = 0; clock::now() < end; ++number) {
+                if (channel == nullptr) {
+                    std::this_thread::sleep_for(milliseconds{100});
+                    channel = connection::open(process.at().entry);
+                    continue;
+                }
+                const call made = send_call(
+                    *channel, "/file/1", "call-" + std::to_string(i) + "-" + std::to_string(number),
+                    timeout_ms, seconds{10}, record);
+                if (!made.answered) {
+                    channel = connection::open(process.at().entry);
+                }
+                {
+                    const std::lock_guard guard{mutex};
+                    calls.push_back(made);
+                }
+                std::this_thread::sleep_for(milliseconds{150});
+            }
+        });
+    }
+    int unready = 0;
+    int asked = 0;
+    while (clock::now() < end) {
+        std::this_thread::sleep_for(seconds{1});
+        ++asked;
+        unready += process.is_ready() ? 0 : 1;
+    }
+    for (std::thread& each : caller_threads) {
+        each.join();
+    }
+    stopping = true;
+    for (std::thread& each : threads) {
+        each.join();
+    }
+    int over = 0;
+    int late = 0;
+    int served = 0;
+    for (const call& each : calls) {
+        over += each.took > milliseconds{timeout_ms} ? 1 : 0;
+        late += each.took > milliseconds{timeout_ms + 500} ? 1 : 0;
+        served += each.status == 200 ? 1 : 0;
+    }
+    record.add("heads sent: " + std::to_string(heads_sent) +
+               "; calls: " + std::to_string(calls.size()) + ", served: " + std::to_string(served) +
+               ", longer than the route's timeout: " + std::to_string(over) +
+               ", over 0.5 s longer: " + std::to_string(late) +
+               "; readiness checks: " + std::to_string(asked) +
+               ", not answered with 200 in 1 s: " + std::to_string(unready));
+    return late >= 8 && 2 * late > over ? verdict::broken : verdict::held;
+}
+
+/// A request that crashes each runner that begins it comes again and again; beside it other
+/// callers' calls.
+verdict run_deadly_repeat(const setting& with)
+{
+    recorder& record = with.record;
+    constexpr milliseconds contact_time{3000};
+    runner_settings plain;
+    plain.work_time = milliseconds{60};
+    plain.deadly_body = "crash-this";
+    deployment* const started = with.start(runner_settings{}, plain, 1500);
+    if (started == nullptr) {
+        return verdict::could_not_run;
+    }
+    deployment& fleet = *started;
+    const char* ids = std::getenv("IDS");
+    const bool keeps_id = ids == nullptr || std::string{ids} != "fresh";
+    const auto end = clock::now() + seconds{40};
+    std::atomic<int> served{0};
+    std::atomic<int> calls{0};
+    std::vector<std::thread> threads;
+    for (int i = 0; i < 6; ++i) {
+        threads.emplace_back([&, i] {
+            relay_process& process = *fleet.processes()[static_cast<std::size_t>(i % 3)];
+            auto channel = connection::open(process.at().entry);
+            for (int number = 0; clock::now() < end && channel != nullptr; ++number) {
+                const call made = send_call(
+                    *channel, "/file/1", "call-" + std::to_string(i) + "-" + std::to_string(number),
+                    1500, seconds{3}, record);
+                ++calls;
+                served += made.status == 200 ? 1 : 0;
+                if (!made.answered) {
+                    channel = connection::open(process.at().entry);
+                }
+                std::this_thread::sleep_for(milliseconds{200});
+            }
+        });
+    }
+    for (int number = 0; clock::now() < end; ++number) {
+        std::this_thread::sleep_for(milliseconds{700});
+        const std::string id = "again" + (keeps_id ? "" : std::to_string(number));
+        const auto channel = connection::open(fleet.processes().front()->at().entry);
+        if (channel == nullptr) {
+            continue;
+        }
+        channel->set_read_limit(seconds{2});
+        channel->send(
+            encode_request("POST", "/file/1", id, 1500, {}, with.trouble ? "crash-this" : "sound"));
+        const auto answer = channel->read_message();
+        record.add("caller of " + id + " has the answer " +
+                   std::to_string(answer.has_value() ? answer->status() : 0));
+    }
+    for (std::thread& each : threads) {
+        each.join();
+    }
+    std::vector<clock::time_point> crashes;
+    for (const auto& each : fleet.services()) {
+        const auto own = each->crashes();
+        crashes.insert(crashes.end(), own.begin(), own.end());
+    }
+    std::sort(crashes.begin(), crashes.end());
+    constexpr std::size_t counted = 3;
+    const auto late = crashes.size() < counted
+                          ? 0
+                          : std::count_if(crashes.begin(), crashes.end(), [&](const auto& at) {
+                                return at > crashes[counted - 1] + contact_time;
+                            });
+    record.add("crashes: " + std::to_string(crashes.size()) + ", later than contact_ms after the " +
+               "third: " + std::to_string(late) + "; calls of others: " + std::to_string(calls) +
+               ", served: " + std::to_string(served));
+    return late > 3 ? verdict::broken : verdict::held;
+}
+
+verdict run(const std::string& name, const setting& with)
+{
+    if (name == "deadly-repeat") {
+        return run_deadly_repeat(with);
+    }
+    if (name == "odd-id") {
+        return run_odd_id(with);
+    }
+    if (name == "long-heads") {
+        return run_long_heads(with);
+    }
+    return verdict::could_not_run;
+}
+
+} // namespace
+
+} // namespace review
+
+int main(int argc, char** argv)
+{
+    if (argc != 4) {
+        std::cerr << "usage: cases CASE RECORD TROUBLE\n";
+        return 2;
+    }
+    ::signal(SIGPIPE, SIG_IGN);
+    std::string folder = std::filesystem::temp_directory_path() / "review-XXXXXX";
+    if (::mkdtemp(folder.data()) == nullptr) {
+        return 2;
+    }
+    review::recorder record{argv[2]};
+    const bool trouble = std::string{argv[3]} != "0";
+    std::unique_ptr<review::deployment> fleet;
+    const auto result = review::run(argv[1], review::setting{folder, record, trouble, fleet});
+    if (fleet != nullptr) {
+        fleet->stop();
+    }
+    record.add("result: " + std::to_string(static_cast<int>(result)));
+    if (std::getenv("KEEP") == nullptr) {
+        std::filesystem::remove_all(folder);
+    }
+    else {
+        std::cerr << folder << '\n';
+    }
+    // Threads of the stand-ins still wait for bytes.
+    std::_Exit(static_cast<int>(result));
+}
