--- a/review/lib-2/cases.cpp
+++ b/review/lib-2/cases.cpp
@@ -279,9 +279,9 @@
     return late >= 8 && 2 * late > over ? verdict::broken : verdict::held;
 }
 
-/// A request that crashes each runner that begins it comes again and again; beside it other
-/// callers' calls.
-verdict run_deadly_repeat(const setting& with)
+/// A request that crashes each runner that begins it comes again and again, with the same path,
+/// caller and body and another query; beside it other callers' calls.
+verdict run_deadly_query(const setting& with)
 {
     recorder& record = with.record;
     constexpr milliseconds contact_time{3000};
@@ -293,8 +293,7 @@
         return verdict::could_not_run;
     }
     deployment& fleet = *started;
-    const char* ids = std::getenv("IDS");
-    const bool keeps_id = ids == nullptr || std::string{ids} != "fresh";
+    const bool same_query = std::getenv("SAME_QUERY") != nullptr;
     const auto end = clock::now() + seconds{40};
     std::atomic<int> served{0};
     std::atomic<int> calls{0};
@@ -318,14 +317,15 @@
     }
     for (int number = 0; clock::now() < end; ++number) {
         std::this_thread::sleep_for(milliseconds{700});
-        const std::string id = "again" + (keeps_id ? "" : std::to_string(number));
+        const std::string id = "again-" + std::to_string(number);
+        const std::string path = "/file/1?at=" + std::to_string(same_query ? 0 : number);
         const auto channel = connection::open(fleet.processes().front()->at().entry);
         if (channel == nullptr) {
             continue;
         }
         channel->set_read_limit(seconds{2});
         channel->send(
-            encode_request("POST", "/file/1", id, 1500, {}, with.trouble ? "crash-this" : "sound"));
+            encode_request("POST", path, id, 1500, {}, with.trouble ? "crash-this" : "sound"));
         const auto answer = channel->read_message();
         record.add("caller of " + id + " has the answer " +
                    std::to_string(answer.has_value() ? answer->status() : 0));
@@ -351,10 +351,141 @@
     return late > 3 ? verdict::broken : verdict::held;
 }
 
+/// What has come of a stream.
+struct stream_result {
+    int status = 0;
+    int events = 0;
+    bool whole = false;
+};
+
+stream_result run_stream(int port, const std::string& id, const std::string& parts)
+{
+    stream_result result;
+    const auto channel = connection::open(port);
+    if (channel == nullptr) {
+        return result;
+    }
+    channel->set_read_limit(seconds{10});
+    channel->send(encode_request("POST", "/draft/1", id, 25000,
+                                 {{"X-Cyclamencourse-Model", "m"},
+                                  {"X-Cyclamencourse-Token-Counts", "5200,80"},
+                                  {"X-Cyclamencourse-Prompt-Prefix", parts}},
+                                 "draft " + id));
+    auto answer = channel->read_head();
+    if (answer.has_value()) {
+        result.status = answer->status();
+        result.whole = channel->read_body(*answer);
+        for (std::size_t at = answer->body.find("id: "); at != std::string::npos;
+             at = answer->body.find("id: ", at + 1)) {
+            ++result.events;
+        }
+    }
+    return result;
+}
+
+/// A part of a prompt crashes each engine that begins to write an answer on it.
+/// @param sends_head_first engines send the head of an answer before its first event
+/// @param parts_before number of parts, beside the common one, before the deadly part
+verdict run_deadly_part(const setting& with, bool sends_head_first, int parts_before)
+{
+    recorder& record = with.record;
+    constexpr milliseconds contact_time{3000};
+    runner_settings engine;
+    engine.work_time = milliseconds{1040};
+    engine.event_gap = milliseconds{30};
+    engine.events = 40;
+    engine.deadly_part = with.trouble ? "deadbeef" : "";
+    engine.sends_head_first = sends_head_first;
+    deployment* const started = with.start(engine, runner_settings{}, 1500);
+    if (started == nullptr) {
+        return verdict::could_not_run;
+    }
+    deployment& fleet = *started;
+    const auto end = clock::now() + seconds{45};
+    std::atomic<int> streams{0};
+    std::atomic<int> served{0};
+    std::vector<std::thread> threads;
+    const auto entry = [&](int number) {
+        return fleet.processes()[static_cast<std::size_t>(number % 3)]->at().entry;
+    };
+    for (int i = 0; i < 9; ++i) {
+        threads.emplace_back([&, i] {
+            for (int number = 0; clock::now() < end; ++number) {
+                const std::string id = "sound-" + std::to_string(i) + "-" + std::to_string(number);
+                const auto result = run_stream(
+                    entry(i), id, "5c1e07a2:200,a" + std::to_string(100 * i + number) + ":5000");
+                ++streams;
+                served += result.whole && result.events == 40 ? 1 : 0;
+                record.add("caller of " + id + " has the status " + std::to_string(result.status) +
+                           " and " + std::to_string(result.events) + " events, " +
+                           (result.whole ? "whole" : "cut"));
+                std::this_thread::sleep_for(milliseconds{300});
+            }
+        });
+    }
+    std::atomic<int> odd{0};
+    threads.emplace_back([&] {
+        std::this_thread::sleep_for(seconds{4});
+        std::vector<std::thread> callers;
+        while (clock::now() < end) {
+            callers.emplace_back([&, number = odd++] {
+                const std::string id = "deadly-" + std::to_string(number);
+                std::string parts = "5c1e07a2:200,";
+                for (int i = 0; i < parts_before; ++i) {
+                    parts += "c" + std::to_string(100 * number + i) + ":40,";
+                }
+                parts += "deadbeef:400,b" + std::to_string(number) + ":4000";
+                const auto result = run_stream(entry(number), id, parts);
+                record.add("caller of " + id + " has the status " + std::to_string(result.status));
+            });
+            std::this_thread::sleep_for(milliseconds{1000});
+        }
+        for (std::thread& each : callers) {
+            each.join();
+        }
+    });
+    for (std::thread& each : threads) {
+        each.join();
+    }
+    std::vector<clock::time_point> crashes;
+    std::vector<arrival> arrivals;
+    for (const auto& each : fleet.engines()) {
+        const auto own = each->crashes();
+        crashes.insert(crashes.end(), own.begin(), own.end());
+        for (const arrival& seen : each->arrivals()) {
+            arrivals.push_back(seen);
+        }
+    }
+    std::sort(crashes.begin(), crashes.end());
+    constexpr std::size_t counted = 5;
+    std::set<std::string> late;
+    for (const arrival& seen : arrivals) {
+        const bool is_late =
+            crashes.size() >= counted && seen.at > crashes[counted - 1] + contact_time;
+        if (is_late && seen.id.starts_with("deadly-")) {
+            late.insert(seen.id);
+        }
+    }
+    record.add("crashes: " + std::to_string(crashes.size()) + "; requests with the part: " +
+               std::to_string(odd) + ", that reached runners later than contact_ms after the " +
+               "fifth crash: " + std::to_string(late.size()) + "; sound streams: " +
+               std::to_string(streams) + ", whole: " + std::to_string(served));
+    return late.size() > 3 ? verdict::broken : verdict::held;
+}
+
 verdict run(const std::string& name, const setting& with)
 {
-    if (name == "deadly-repeat") {
-        return run_deadly_repeat(with);
+    if (name == "deadly-part-early-head") {
+        return run_deadly_part(with, true, 0);
+    }
+    if (name == "deadly-part-behind-others") {
+        return run_deadly_part(with, false, 18);
+    }
+    if (name == "deadly-part") {
+        return run_deadly_part(with, false, 0);
+    }
+    if (name == "deadly-query") {
+        return run_deadly_query(with);
     }
     if (name == "odd-id") {
         return run_odd_id(with);
--- a/review/lib-2/harness.cpp
+++ b/review/lib-2/harness.cpp
@@ -5,6 +5,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/time.h>
 #include <sys/wait.h>
@@ -651,8 +652,19 @@
         head += name + ": " + value + "\r\n";
     }
     head += "\r\n";
+    bool sent = !settings_.sends_head_first || from.send(head);
     std::this_thread::sleep_for(settings_.work_time);
-    bool sent = from.send(head);
+    if (!sent || from.is_closed()) {
+        record_.add("runner " + settings_.name + " lost the sender of " + id);
+        return;
+    }
+    if (!settings_.deadly_part.empty() &&
+        request.field("x-cyclamencourse-prompt-prefix").find(settings_.deadly_part) !=
+            std::string::npos) {
+        crash();
+        return;
+    }
+    sent = settings_.sends_head_first || from.send(head);
     int next = std::atoi(request.field("last-event-id").c_str()) + 1;
     for (; sent && next <= settings_.events; ++next) {
         {
@@ -715,6 +727,8 @@
     const std::string log = folder + "/" + name + ".log";
     pid_ = ::fork();
     if (pid_ == 0) {
+        // It ends with this program, however that ends.
+        ::prctl(PR_SET_PDEATHSIG, SIGKILL);
         const int output = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
         ::dup2(output, STDOUT_FILENO);
         ::dup2(output, STDERR_FILENO);
--- a/review/lib-2/harness.hpp
+++ b/review/lib-2/harness.hpp
@@ -167,6 +167,11 @@
     int events = 60;
     /// Text in a request's body that makes the runner crash as it begins to run the request.
     std::string deadly_body;
+    /// Part of a prompt that makes an engine crash as it begins to write an answer on it.
+    std::string deadly_part;
+    /// An engine sends the head of its answer when it has admitted the request, and the first event
+    /// after `work_time`; otherwise both then.
+    bool sends_head_first = false;
     /// Time from a crash until the runner is back.
     std::chrono::milliseconds down_time{2000};
 };
