--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -3,7 +3,7 @@
 # without the disruption. Needs target/cyclamencourse (deploy file) and review/build-2.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/cyclamencourse ] && [ -x target/review-2/cases ] || exit 2
-timeout -k 1 118 target/review-2/cases deadly-query review/10/record.txt "${TROUBLE:-1}"
+timeout -k 1 118 target/review-2/cases late-bad-version review/10/record.txt "${TROUBLE:-1}"
 status=$?
 [ $status -le 1 ] || exit 2
 exit $status
--- a/review/lib-2/cases.cpp
+++ b/review/lib-2/cases.cpp
@@ -358,10 +358,10 @@
     bool whole = false;
 };
 
-stream_result run_stream(int port, const std::string& id, const std::string& parts)
+stream_result run_stream(const endpoint& entry, const std::string& id, const std::string& parts)
 {
     stream_result result;
-    const auto channel = connection::open(port);
+    const auto channel = connection::open(entry);
     if (channel == nullptr) {
         return result;
     }
@@ -473,8 +473,105 @@
     return late.size() > 3 ? verdict::broken : verdict::held;
 }
 
+/// A rollout whose new version turns bad late: each fourth of its answers is a failure.
+verdict run_late_bad_version(const setting& with)
+{
+    recorder& record = with.record;
+    constexpr seconds time_limit{15};
+    constexpr double expose_share = 0.1;
+    constexpr double expose_slack = 50;
+    constexpr milliseconds rollback_time{5000};
+    constexpr std::size_t bad_answers = 50;
+    runner_settings plain;
+    plain.work_time = milliseconds{60};
+    deployment* const started = with.start(runner_settings{}, plain, 1500);
+    if (started == nullptr) {
+        return verdict::could_not_run;
+    }
+    deployment& fleet = *started;
+    const auto ordered = clock::now() + seconds{3};
+    const auto deadline = ordered + time_limit;
+    const auto end = deadline + seconds{14};
+    std::atomic<int> calls{0};
+    std::atomic<int> served{0};
+    std::vector<std::thread> threads;
+    for (int i = 0; i < 15; ++i) {
+        threads.emplace_back([&, i] {
+            relay_process& process = *fleet.processes()[static_cast<std::size_t>(i % 3)];
+            auto channel = connection::open(process.at().entry);
+            std::this_thread::sleep_for(milliseconds{40 * i});
+            for (int number = 0; clock::now() < end && channel != nullptr; ++number) {
+                const auto next = clock::now() + milliseconds{600};
+                const call made = send_call(
+                    *channel, "/file/1", "call-" + std::to_string(i) + "-" + std::to_string(number),
+                    1500, seconds{3}, record);
+                calls += clock::now() > ordered ? 1 : 0;
+                served += clock::now() > ordered && made.status == 200 ? 1 : 0;
+                if (!made.answered) {
+                    channel = connection::open(process.at().entry);
+                }
+                std::this_thread::sleep_until(next);
+            }
+        });
+    }
+    std::this_thread::sleep_until(ordered);
+    runner_settings fresh = plain;
+    fresh.version = "v2";
+    if (with.trouble) {
+        fresh.bad_from = ordered + milliseconds{11500};
+    }
+    fleet.add_services(fresh);
+    fleet.rows().put("op", "rollout/desk", R"({"backend":"desk","to":"v2","duration_s":15})");
+    record.add("the operator orders the rollout");
+    // {"state":"completed","to":"v2"}
+    constexpr const char* completed = "eyJzdGF0ZSI6ImNvbXBsZXRlZCIsInRvIjoidjIifQ==";
+    while (clock::now() < end && fleet.rows().value("status", "rollout/desk") != completed) {
+        std::this_thread::sleep_for(milliseconds{20});
+    }
+    for (const auto& each : fleet.services()) {
+        if (clock::now() < end && !each->name().starts_with("desk-v2")) {
+            each->stop();
+        }
+    }
+    for (std::thread& each : threads) {
+        each.join();
+    }
+    std::this_thread::sleep_for(seconds{1});
+    int reached = 0;
+    int exposed = 0;
+    std::vector<clock::time_point> bad;
+    for (const auto& each : fleet.services()) {
+        const auto own = each->failures();
+        bad.insert(bad.end(), own.begin(), own.end());
+    }
+    std::sort(bad.begin(), bad.end());
+    const auto limit =
+        bad.size() < bad_answers ? clock::time_point::max() : bad[bad_answers - 1] + rollback_time;
+    int late = 0;
+    for (const auto& each : fleet.services()) {
+        for (const arrival& seen : each->arrivals()) {
+            const bool is_counted = seen.at > ordered && seen.at <= deadline;
+            const bool is_new = seen.runner.starts_with("desk-v2");
+            reached += is_counted ? 1 : 0;
+            exposed += is_counted && is_new ? 1 : 0;
+            late += is_new && seen.at > limit ? 1 : 0;
+        }
+    }
+    const double allowed = expose_share * reached + expose_slack;
+    record.add("calls: " + std::to_string(calls) + ", served: " + std::to_string(served) +
+               "; reached the service until the deadline: " + std::to_string(reached) +
+               ", the new version: " + std::to_string(exposed) + ", allowed if it is bad: " +
+               std::to_string(allowed) + "; bad answers: " + std::to_string(bad.size()) +
+               ", requests later than rollback_ms after the 50th: " + std::to_string(late) +
+               "; status row (base64): " + fleet.rows().value("status", "rollout/desk"));
+    return with.trouble && (exposed > allowed || late > 0) ? verdict::broken : verdict::held;
+}
+
 verdict run(const std::string& name, const setting& with)
 {
+    if (name == "late-bad-version") {
+        return run_late_bad_version(with);
+    }
     if (name == "deadly-part-early-head") {
         return run_deadly_part(with, true, 0);
     }
--- a/review/lib-2/harness.cpp
+++ b/review/lib-2/harness.cpp
@@ -95,21 +95,17 @@
                                           .count());
 }
 
-int free_port()
+/// @return addresses of a process, on a loopback address of its own, so that no other connection
+/// has
+///         one of its ports
+addresses own_addresses(std::size_t index)
 {
-    const int descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
-    const sockaddr_in any = loopback(0);
-    if (::bind(descriptor, reinterpret_cast<const sockaddr*>(&any), sizeof(any)) != 0) {
-        std::perror("bind");
-    }
-    const int port = port_of(descriptor);
-    ::close(descriptor);
-    return port;
-}
-
-std::string to_address(int port)
-{
-    return "127.0.0.1:" + std::to_string(port);
+    constexpr unsigned part_values = 250;
+    const auto number = static_cast<unsigned>(::getpid());
+    const std::string ip = "127." + std::to_string(2 + number / part_values % part_values) + "." +
+                           std::to_string(1 + number % part_values) + "." +
+                           std::to_string(1 + index);
+    return addresses{{ip, 8740}, {ip, 8749}, {ip, 8746}, {ip, 7200}, {ip, 8748}};
 }
 
 } // namespace
@@ -163,10 +159,11 @@
     return first_line.starts_with("HTTP/1.1 ") ? std::atoi(first_line.c_str() + 9) : 0;
 }
 
-std::unique_ptr<connection> connection::open(int port)
+std::unique_ptr<connection> connection::open(const endpoint& address)
 {
     const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    const sockaddr_in to = loopback(port);
+    sockaddr_in to = loopback(address.port);
+    ::inet_pton(AF_INET, address.ip.c_str(), &to.sin_addr);
     if (::connect(descriptor, reinterpret_cast<const sockaddr*>(&to), sizeof(to)) != 0) {
         ::close(descriptor);
         return nullptr;
@@ -398,6 +395,13 @@
     write(table, key, {}, true);
 }
 
+std::string store::value(const std::string& table, const std::string& key)
+{
+    const std::lock_guard guard{mutex_};
+    const auto found = tables_[table].find(key);
+    return found == tables_[table].end() || found->second.removed ? "" : found->second.value;
+}
+
 void store::write(const std::string& table, const std::string& key, std::string value, bool removed)
 {
     tables_[table].insert_or_assign(key, row{std::move(value), version_, removed});
@@ -505,7 +509,7 @@
               document{{"backend", settings_.service},
                        {"address", address()},
                        {"zone", settings_.zone},
-                       {"version", "v1"},
+                       {"version", settings_.version},
                        {"slots", 64},
                        {"state", state},
                        {"cold_left_ms", 0},
@@ -521,6 +525,12 @@
     record_.add("runner " + settings_.name + " is no longer listed");
 }
 
+void runner::stop()
+{
+    unlist();
+    listener_->crash();
+}
+
 std::vector<arrival> runner::arrivals() const
 {
     const std::lock_guard guard{mutex_};
@@ -581,6 +591,12 @@
     return crashes_;
 }
 
+std::vector<clock::time_point> runner::failures() const
+{
+    const std::lock_guard guard{mutex_};
+    return failures_;
+}
+
 void runner::crash()
 {
     record_.add("runner " + settings_.name + " has crashed");
@@ -691,14 +707,26 @@
 
 void runner::answer_plain(connection& from, const std::string& id)
 {
+    constexpr int bad_each = 4;
     std::this_thread::sleep_for(settings_.work_time);
-    const bool sent = from.send(encode_response(200, answer_fields(id), "done " + id));
-    record_.add("runner " + settings_.name + (sent ? " has answered " : " could not answer ") + id);
+    const bool is_bad = settings_.bad_from.has_value() && clock::now() >= *settings_.bad_from &&
+                        ++answers_ % bad_each == 0;
+    if (is_bad) {
+        const std::lock_guard guard{mutex_};
+        failures_.push_back(clock::now());
+    }
+    const bool sent = from.send(encode_response(is_bad ? 500 : 200, answer_fields(id),
+                                                (is_bad ? "failed " : "done ") + id));
+    record_.add("runner " + settings_.name +
+                (!sent    ? " could not answer "
+                 : is_bad ? " has failed "
+                          : " has answered ") +
+                id);
 }
 
 relay_process::relay_process(const std::string& name, const std::string& zone,
                              const std::string& folder, const std::string& store_address,
-                             const std::vector<std::string>& seeds, const ports& at)
+                             const std::vector<std::string>& seeds, const addresses& at)
     : name_{name}, at_{at}
 {
     // The deploy file's template, filled in for a machine of the site lantern-obits.
@@ -708,11 +736,11 @@
                                     {"cores", 0.17},
                                     {"seeds", seeds},
                                     {"listen",
-                                     {{"entry", to_address(at.entry)},
-                                      {"ready", to_address(at.ready)},
-                                      {"feed", to_address(at.feed)},
-                                      {"directory", to_address(at.directory)},
-                                      {"metrics", to_address(at.metrics)}}},
+                                     {{"entry", at.entry.text()},
+                                      {"ready", at.ready.text()},
+                                      {"feed", at.feed.text()},
+                                      {"directory", at.directory.text()},
+                                      {"metrics", at.metrics.text()}}},
                                     {"store", {{"address", store_address}}},
                                     {"retries", {{"ratio", 0.8}, {"slack", 300}, {"window_s", 10}}},
                                     {"rollouts", {{"exposure_ratio", 0.1}, {"exposure_slack", 50}}},
@@ -792,6 +820,18 @@
     add(plain, "desk", "desk-", 3, services_);
 }
 
+void deployment::add_services(const runner_settings& like)
+{
+    for (std::size_t i = 0; i < zones.size(); ++i) {
+        runner_settings own = like;
+        own.name = "desk-" + like.version + "-" + std::to_string(i);
+        own.service = "desk";
+        own.zone = zones.at(i);
+        services_.push_back(std::make_unique<runner>(own, store_, record_));
+        services_.back()->list("ready");
+    }
+}
+
 std::string deployment::configuration() const
 {
     const auto route = [&](const char* name, const char* prefix, const char* kind,
@@ -858,11 +898,11 @@
     for (const auto& each : services_) {
         each->list("ready");
     }
-    std::vector<ports> all;
+    std::vector<addresses> all;
     std::vector<std::string> seeds;
     for (std::size_t i = 0; i < zones.size(); ++i) {
-        all.push_back(ports{free_port(), free_port(), free_port(), free_port(), free_port()});
-        seeds.push_back(to_address(all.back().feed));
+        all.push_back(own_addresses(i));
+        seeds.push_back(all.back().feed.text());
     }
     for (std::size_t i = 0; i < zones.size(); ++i) {
         processes_.push_back(std::make_unique<relay_process>(
--- a/review/lib-2/harness.hpp
+++ b/review/lib-2/harness.hpp
@@ -55,6 +55,14 @@
     [[nodiscard]] int status() const;
 };
 
+/// A TCP address on loopback.
+struct endpoint {
+    std::string ip = "127.0.0.1";
+    int port = 0;
+
+    [[nodiscard]] std::string text() const { return ip + ":" + std::to_string(port); }
+};
+
 /// One connection with blocking reads.
 class connection {
   public:
@@ -63,8 +71,8 @@
     connection(const connection&) = delete;
     connection& operator=(const connection&) = delete;
 
-    /// @return a connection to a port of 127.0.0.1, null if it isn't accepted
-    static std::unique_ptr<connection> open(int port);
+    /// @return a connection, null if it isn't accepted
+    static std::unique_ptr<connection> open(const endpoint& to);
 
     [[nodiscard]] int descriptor() const { return descriptor_; }
     bool send(std::string_view bytes) const;
@@ -125,6 +133,8 @@
     /// Writes a row as the operator or a runner does.
     void put(const std::string& table, const std::string& key, const std::string& value);
     void remove(const std::string& table, const std::string& key);
+    /// @return the value of a row, empty if there is none
+    [[nodiscard]] std::string value(const std::string& table, const std::string& key);
 
   private:
     struct row {
@@ -172,6 +182,9 @@
     /// An engine sends the head of its answer when it has admitted the request, and the first event
     /// after `work_time`; otherwise both then.
     bool sends_head_first = false;
+    std::string version = "v1";
+    /// From then on each fourth plain answer is a failure.
+    std::optional<clock::time_point> bad_from;
     /// Time from a crash until the runner is back.
     std::chrono::milliseconds down_time{2000};
 };
@@ -187,9 +200,13 @@
     void list(const std::string& state);
     /// The runner has left: its row goes.
     void unlist();
+    /// The runner stops at once, and its row goes.
+    void stop();
     [[nodiscard]] std::vector<arrival> arrivals() const;
     /// @return when the runner has crashed
     [[nodiscard]] std::vector<clock::time_point> crashes() const;
+    /// @return when it has answered with a failure
+    [[nodiscard]] std::vector<clock::time_point> failures() const;
 
   private:
     const runner_settings settings_;
@@ -198,8 +215,10 @@
     mutable std::mutex mutex_;
     std::vector<arrival> arrivals_;
     std::vector<clock::time_point> crashes_;
+    std::vector<clock::time_point> failures_;
     std::map<std::string, int> runs_;
     std::atomic<std::uint64_t> sequence_{1};
+    std::atomic<int> answers_{0};
     std::atomic<std::uint64_t> born_ms_;
     std::unique_ptr<listener> listener_;
 
@@ -213,13 +232,13 @@
     answer_fields(const std::string& id) const;
 };
 
-/// Ports of one process under test.
-struct ports {
-    int entry = 0;
-    int ready = 0;
-    int directory = 0;
-    int metrics = 0;
-    int feed = 0;
+/// Addresses of one process under test.
+struct addresses {
+    endpoint entry;
+    endpoint ready;
+    endpoint directory;
+    endpoint metrics;
+    endpoint feed;
 };
 
 /// One process under test, started with the command of the deploy file.
@@ -228,13 +247,13 @@
     /// @param folder temporary folder for settings and log
     relay_process(const std::string& name, const std::string& zone, const std::string& folder,
                   const std::string& store_address, const std::vector<std::string>& seeds,
-                  const ports& at);
+                  const addresses& at);
     ~relay_process();
     relay_process(const relay_process&) = delete;
     relay_process& operator=(const relay_process&) = delete;
 
     [[nodiscard]] const std::string& name() const { return name_; }
-    [[nodiscard]] const ports& at() const { return at_; }
+    [[nodiscard]] const addresses& at() const { return at_; }
     void send_signal(int number) const;
     /// @return how it has ended, empty while it runs
     [[nodiscard]] std::optional<std::string> ended();
@@ -243,7 +262,7 @@
 
   private:
     const std::string name_;
-    const ports at_;
+    const addresses at_;
     pid_t pid_ = -1;
     std::optional<std::string> ended_;
 };
@@ -255,6 +274,8 @@
                const runner_settings& plain, int timeout_ms);
 
     [[nodiscard]] bool start();
+    /// Adds plain runners of another version beside the others.
+    void add_services(const runner_settings& like);
     /// Ends the processes. The stand-ins last until this program ends, as their threads do.
     void stop() { processes_.clear(); }
     [[nodiscard]] store& rows() { return store_; }
