--- a/review/lib-2/harness.cpp
+++ b/review/lib-2/harness.cpp
@@ -6,6 +6,7 @@
 #include <poll.h>
 #include <signal.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/time.h>
 #include <sys/wait.h>
@@ -757,6 +758,8 @@
     if (pid_ == 0) {
         // It ends with this program, however that ends.
         ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+        const rlimit no_core{0, 0};
+        ::setrlimit(RLIMIT_CORE, &no_core);
         const int output = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
         ::dup2(output, STDOUT_FILENO);
         ::dup2(output, STDERR_FILENO);
