--- a/tests/support/caller_crowd.hpp
+++ b/tests/support/caller_crowd.hpp
@@ -72,6 +72,15 @@
         ::poll(nullptr, 0, settle_ms);
     }
 
+    /// Closes the connections for sending; they stay open for reading.
+    void finish_sending()
+    {
+        for (const caller& each : callers_) {
+            ::shutdown(each.fd, SHUT_WR);
+        }
+        ::poll(nullptr, 0, settle_ms);
+    }
+
   private:
     /// Time without progress of any caller after which none is read any more.
     static constexpr std::chrono::milliseconds stall_time{500};
--- a/tests/support/relay_process.hpp
+++ b/tests/support/relay_process.hpp
@@ -13,10 +13,10 @@
 
 #include "core/text.hpp"
 #include "http/request_task.hpp"
-#include "soak/child_process.hpp"
 #include "soak/soak_documents.hpp"
 #include "standin/row_store_task.hpp"
 #include "standin/runner_task.hpp"
+#include "support/observed_process.hpp"
 #include "support/ports.hpp"
 
 namespace cyclamen::test {
@@ -48,15 +48,10 @@
         settings["limits"]["memory_mb"] = limits.memory_mb;
         const std::string settings_file = (folder_ / "instance.json").string();
         std::ofstream{settings_file} << settings.dump(2);
-        auto started = soak::child_process::start(
-            {"/bin/sh", "-c",
-             core::concat("ulimit -n ", limits.descriptors, " && exec \"$0\" \"$@\""),
-             CYCLAMENCOURSE_PROGRAM, "relay", "--config", settings_file},
-            (folder_ / "instance.log").string());
-        BOOST_REQUIRE(started.ok());
-        process_.emplace(*std::move(started));
+        process_.emplace(std::vector<std::string>{"relay", "--config", settings_file},
+                         limits.descriptors, (folder_ / "instance.log").string());
         await_ready();
-        idle_kb_ = status_kb("VmRSS:");
+        process_->set_idle();
     }
     ~relay_process()
     {
@@ -69,21 +64,10 @@
     const soak::instance_addresses at{free_address(), free_address(), free_address(),
                                       free_address(), free_address()};
 
-    [[nodiscard]] bool is_alive() { return !process_->poll().has_value(); }
-
-    /// @return the most memory that the process had, above what it had before the crowd, in MiB
-    [[nodiscard]] long peak_above_idle_mib() const
-    {
-        constexpr long kb_per_mib = 1024;
-        return (status_kb("VmHWM:") - idle_kb_) / kb_per_mib;
-    }
-
-    [[nodiscard]] std::size_t open_descriptors() const
-    {
-        std::error_code error;
-        const std::filesystem::directory_iterator open{proc("fd"), error};
-        return static_cast<std::size_t>(std::distance(begin(open), end(open)));
-    }
+    [[nodiscard]] bool is_alive() { return process_->is_alive(); }
+    [[nodiscard]] long peak_mib() const { return process_->peak_mib(); }
+    [[nodiscard]] long peak_above_idle_mib() const { return process_->peak_above_idle_mib(); }
+    [[nodiscard]] std::size_t open_descriptors() const { return process_->open_descriptors(); }
 
     /// @return status of the answer to an ordinary request on a new connection, 0 for none
     [[nodiscard]] int ordinary_status()
@@ -118,8 +102,7 @@
     const core::socket_address store_address_ = free_address();
     standin::row_store_task store_{standin::row_store_settings{.listen = store_address_}};
     std::vector<std::unique_ptr<standin::runner_task>> runners_;
-    std::optional<soak::child_process> process_;
-    long idle_kb_ = 0;
+    std::optional<observed_process> process_;
     int requests_ = 0;
 
     void add_runner(const std::string& name, const char* service)
@@ -148,24 +131,6 @@
         }
         BOOST_FAIL("the process was not ready");
     }
-
-    [[nodiscard]] std::string proc(const char* file) const
-    {
-        return core::concat("/proc/", process_->id(), "/", file);
-    }
-
-    [[nodiscard]] long status_kb(const std::string& field) const
-    {
-        std::ifstream status{proc("status")};
-        for (std::string word; status >> word;) {
-            if (word == field) {
-                long value = 0;
-                status >> value;
-                return value;
-            }
-        }
-        return 0;
-    }
 };
 
 } // namespace cyclamen::test
