http: a connection has one timer for its next request, not one a request

Callers saw: a process that ended, or got no answer while others sent requests ahead.

Cause: when a response had been sent, the server read the next request at once, from within the completion of the write, and scheduled a timer for the one after it besides. The number of timers of a connection grew with each request that was sent ahead, and nothing counted them. All requests of a connection were answered in one round of the loop as well, before those of any other one.

Change: the next request is always read by a timer, of which a connection has at most one. So each connection is read once a round.

Evidence: test_http requests_sent_ahead_do_not_add_up failed before (200 requests in a round, 2 allowed).

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -253,7 +253,7 @@
     {
         if (!peer.exchange.has_value() && !peer.close_when_sent && peer.may_read()) {
             continue_reading(peer);
-            read(peer);
+            schedule_read(peer);
         }
     }
 
@@ -357,16 +357,24 @@
             return;
         }
         continue_reading(peer);
-        if (!peer.stream.input().empty()) {
-            // The next request was received already. It is read later, as the handler must not be
-            // called from within a call of the owner.
-            loop_.run_after(core::duration::zero(), [this, number = peer.number] {
-                const auto found = connections_.find(number);
-                if (found != connections_.end()) {
-                    read(*found->second);
-                }
-            });
+        schedule_read(peer);
+    }
+
+    /// Reads the next request later if it was received already: the handler must not be called from
+    /// within a call of the owner, and other connections have their turn first.
+    void schedule_read(connection& peer)
+    {
+        if (peer.read_scheduled || peer.stream.input().empty()) {
+            return;
         }
+        peer.read_scheduled = true;
+        loop_.run_after(core::duration::zero(), [this, number = peer.number] {
+            const auto found = connections_.find(number);
+            if (found != connections_.end()) {
+                found->second->read_scheduled = false;
+                read(*found->second);
+            }
+        });
     }
 
     void close_after_sending(connection& peer)
--- a/src/http/server_connection.hpp
+++ b/src/http/server_connection.hpp
@@ -66,6 +66,9 @@
     bool continue_sent = false;
     /// A request was received on the connection.
     bool was_used = false;
+    /// A timer is going to read the next request. There is one at most, since timers are memory
+    /// that nothing counts.
+    bool read_scheduled = false;
     /// Closes the connection as soon as all output is written.
     bool close_when_sent = false;
     /// Bytes that the request in progress holds.
--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -289,6 +289,30 @@
 
 } // namespace
 
+// Guards against callers that send ahead: what a connection costs must not grow with the requests
+// on it.
+BOOST_AUTO_TEST_CASE(requests_sent_ahead_do_not_add_up)
+{
+    kept_connection kept{{}};
+    constexpr int sent_ahead = 200;
+    std::string requests;
+    for (int i = 0; i < sent_ahead; ++i) {
+        requests += "GET / HTTP/1.1\r\nhost: x\r\n\r\n";
+    }
+    BOOST_REQUIRE(::write(kept.fd, requests.data(), requests.size()) ==
+                  static_cast<ssize_t>(requests.size()));
+    // One when bytes arrive, and one by the timer.
+    constexpr int max_requests_per_round = 2;
+    int most = 0;
+    for (int round = 0; round < sent_ahead + 10; ++round) {
+        const int before = kept.handler.requests;
+        kept.loop.run_once(std::chrono::milliseconds{1});
+        most = std::max(most, kept.handler.requests - before);
+    }
+    BOOST_TEST(most <= max_requests_per_round);
+    BOOST_TEST(kept.handler.requests == sent_ahead + 1);
+}
+
 BOOST_AUTO_TEST_CASE(a_request_that_has_arrived_is_answered_though_the_idle_limit_is_over)
 {
     kept_connection kept{{.idle_timeout = std::chrono::milliseconds{100}}};
