http: received bytes stay with the operating system until they can be handled

Callers saw: memory that followed the number of connections, so that a process ended with fewer connections than its descriptors allow.

Cause: h2o reads all that has arrived, up to 128 KB in a buffer of 256 KB, also while the connection waits for its caller to read. The ledger counted the bytes in the buffer, not its memory; and a text that grows by doubling held up to twice its bytes, of which an empty one kept 64 KB.

Change: tcp_stream reads by itself, 16 KB at a time from accepted connections, and no more while 16 KB wait to be handled; what a caller sends ahead stays in the kernel's bounded buffer. Empty buffers keep no memory. The ledger counts the memory of the buffers, in both directions. An error that ends a connection is remembered, since the operating system reports it only once.

Since work that is waiting stays at the connection now, all connections of a listener can be busy with requests sent ahead. If there is no other, one of them gives way to a new connection; never one whose request is in progress.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -24,7 +24,7 @@
 constexpr core::duration timeout_check_interval = std::chrono::seconds{1};
 
 /// Maximum input buffered for further requests on a connection while a request is answered.
-constexpr std::size_t max_buffered_input_bytes = 64 * 1024;
+constexpr std::size_t max_buffered_input_bytes = 16 * 1024;
 
 /// Minimum time between two log lines about connections that were closed for lack of room.
 constexpr core::duration log_interval = std::chrono::seconds{1};
@@ -199,18 +199,26 @@
         connections_.emplace(last_number_, std::move(created));
     }
 
-    /// Closes the connection that has waited longest for its peer.
+    /// Closes the connection that has waited longest for its peer; one whose peer sends ahead only
+    /// if there is no other.
     /// @return false if requests are being answered on all of them
     bool displace_connection()
     {
         const core::instant now = loop_.now();
+        const auto is_older = [](const connection& checked, const connection* than) {
+            return than == nullptr || checked.waiting_since < than->waiting_since;
+        };
         connection* chosen = nullptr;
+        connection* ahead = nullptr;
         for (const auto& [number, each] : connections_) {
-            const bool is_older = chosen == nullptr || each->waiting_since < chosen->waiting_since;
-            if (is_older && each->may_be_displaced(now)) {
-                chosen = each.get();
+            if (each->may_be_displaced(now)) {
+                chosen = is_older(*each, chosen) ? each.get() : chosen;
+            }
+            else if (each->sends_ahead()) {
+                ahead = is_older(*each, ahead) ? each.get() : ahead;
             }
         }
+        chosen = chosen == nullptr ? ahead : chosen;
         if (chosen == nullptr) {
             return false;
         }
@@ -260,7 +268,7 @@
     /// Reads from the socket unless many received bytes are still to be handled.
     static void continue_reading(connection& peer)
     {
-        if (peer.stream.input().size() <= max_buffered_input_bytes) {
+        if (peer.stream.input().size() < max_buffered_input_bytes) {
             peer.stream.start_reading();
         }
         else {
@@ -272,7 +280,7 @@
     {
         const bool answers = peer.exchange.has_value() || peer.close_when_sent;
         if (answers || (peer.reader == nullptr && !peer.may_read())) {
-            if (!answers || peer.stream.input().size() > max_buffered_input_bytes) {
+            if (!answers || peer.stream.input().size() >= max_buffered_input_bytes) {
                 peer.stream.stop_reading();
             }
             limit_memory(peer);
--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -71,7 +71,7 @@
 
 void server_connection::count_memory(core::instant now)
 {
-    std::size_t input = stream.input().size();
+    std::size_t input = stream.input_memory();
     if (reader != nullptr) {
         // The text of a body grows by doubling.
         input += std::bit_ceil(request_bytes) + field_lines_ * field_bytes;
@@ -79,7 +79,13 @@
     else if (exchange.has_value()) {
         input += request_bytes;
     }
-    ledger_->set(holder_, {input, stream.unsent(), exchange.has_value() && head_sent}, now);
+    const std::size_t output = stream.unsent();
+    ledger_->set(holder_,
+                 {.input = input,
+                  .output = output,
+                  .output_slack = std::max(stream.output_memory(), output) - output,
+                  .is_stream = exchange.has_value() && head_sent},
+                 now);
 }
 
 void server_connection::begin_wait(const server_settings& settings, core::instant now)
@@ -109,6 +115,11 @@
     return !exchange.has_value() && reader == nullptr && !close_when_sent && stream.input().empty();
 }
 
+bool server_connection::sends_ahead() const
+{
+    return !exchange.has_value() && (!may_read() || (reader == nullptr && !stream.input().empty()));
+}
+
 bool server_connection::may_be_displaced(core::instant now) const
 {
     if (exchange.has_value()) {
--- a/src/http/server_connection.hpp
+++ b/src/http/server_connection.hpp
@@ -99,6 +99,10 @@
     /// may be closed in favour of another one
     [[nodiscard]] bool may_be_displaced(core::instant now) const;
 
+    /// @return true if the peer has sent further requests without waiting for an answer, and none
+    /// of its requests is in progress
+    [[nodiscard]] bool sends_ahead() const;
+
   private:
     connection_owner& owner_;
     const std::shared_ptr<limits::memory_ledger> ledger_;
--- a/src/http/tcp_acceptor.cpp
+++ b/src/http/tcp_acceptor.cpp
@@ -93,15 +93,17 @@
 
 bool tcp_acceptor::accept_one()
 {
-    errno = 0;
-    h2o_socket_t* connection = h2o_evloop_socket_accept(socket_);
-    if (connection == nullptr) {
+    const int descriptor =
+        ::accept4(h2o_socket_get_fd(socket_), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+    if (descriptor < 0) {
         if (errno == EMFILE || errno == ENFILE || errno == ENOMEM) {
             pause();
         }
         return false;
     }
-    listener_.on_accepted(connection);
+    listener_.on_accepted(h2o_evloop_socket_create(loop_.native(), descriptor,
+                                                   H2O_SOCKET_FLAG_IS_ACCEPTED_CONNECTION |
+                                                       H2O_SOCKET_FLAG_DONT_READ));
     return true;
 }
 
--- a/src/http/tcp_acceptor.hpp
+++ b/src/http/tcp_acceptor.hpp
@@ -16,7 +16,8 @@
   public:
     virtual ~acceptor_listener() = default;
 
-    /// @param accepted accepted socket, not being read yet; the listener takes ownership
+    /// @param accepted accepted socket, not being read yet, which h2o doesn't read itself; the
+    ///        listener takes ownership
     virtual void on_accepted(st_h2o_socket_t* accepted) = 0;
 };
 
--- a/src/http/tcp_stream.cpp
+++ b/src/http/tcp_stream.cpp
@@ -5,6 +5,7 @@
 #include <netinet/tcp.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <array>
@@ -32,12 +33,32 @@
 /// Maximum number of bytes that the operating system accepts beyond what the peer has room for.
 constexpr int max_unsent_bytes = 128 * 1024;
 
-/// Releases the memory of an empty buffer, unless it is small.
-void release(std::string& empty)
+/// Maximum number of bytes that are read at a time. Requests that a caller sends ahead stay with
+/// the operating system.
+constexpr std::size_t max_read_bytes = 256 * 1024;
+constexpr std::size_t max_read_accepted_bytes = 16 * 1024;
+constexpr std::size_t read_part_bytes = 16 * 1024;
+
+/// Starts connecting.
+/// @return descriptor of the socket, or -1 with errno set
+int begin_connect(const core::socket_address& address)
 {
-    if (empty.capacity() > max_write_bytes) {
-        empty = std::string{};
+    const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (descriptor < 0) {
+        return -1;
+    }
+    sockaddr_in to{};
+    to.sin_family = AF_INET;
+    to.sin_port = htons(address.port);
+    ::inet_pton(AF_INET, address.ip.c_str(), &to.sin_addr);
+    if (::connect(descriptor, reinterpret_cast<const sockaddr*>(&to), sizeof(to)) != 0 &&
+        errno != EINPROGRESS) {
+        const int problem = errno;
+        ::close(descriptor);
+        errno = problem;
+        return -1;
     }
+    return descriptor;
 }
 
 void set_options(int descriptor, core::duration unacknowledged_timeout, int unread_bytes)
@@ -62,8 +83,8 @@
 
 tcp_stream::tcp_stream(st_h2o_socket_t* socket, bool connected,
                        core::duration unacknowledged_timeout, stream_listener& listener)
-    : socket_{socket}, listener_{listener}, state_{std::make_unique<socket_state>()}, connected_{
-                                                                                          connected}
+    : socket_{socket}, listener_{listener}, state_{std::make_unique<socket_state>()},
+      max_read_bytes_{connected ? max_read_accepted_bytes : max_read_bytes}, connected_{connected}
 {
     state_->stream = this;
     socket_->data = state_.get();
@@ -75,18 +96,16 @@
 tcp_stream::connect(task::event_loop& loop, const core::socket_address& address,
                     core::duration unacknowledged_timeout, stream_listener& listener)
 {
-    sockaddr_in to{};
-    to.sin_family = AF_INET;
-    to.sin_port = htons(address.port);
-    ::inet_pton(AF_INET, address.ip.c_str(), &to.sin_addr);
-    h2o_socket_t* socket = h2o_socket_connect(loop.native(), reinterpret_cast<sockaddr*>(&to),
-                                              sizeof(to), on_connected);
-    if (socket == nullptr) {
+    const int descriptor = begin_connect(address);
+    if (descriptor < 0) {
         return core::make_error(
             core::error_kind::unavailable,
             core::concat("can't connect to ", core::to_string(address), ": ", std::strerror(errno)),
             "free file descriptors, or try another target");
     }
+    h2o_socket_t* socket = h2o_evloop_socket_create(
+        loop.native(), descriptor, H2O_SOCKET_FLAG_IS_CONNECTING | H2O_SOCKET_FLAG_DONT_READ);
+    h2o_socket_notify_write(socket, on_connected);
     return std::unique_ptr<tcp_stream>{
         new tcp_stream{socket, false, unacknowledged_timeout, listener}};
 }
@@ -144,14 +163,14 @@
     return h2o_socket_get_fd(socket_);
 }
 
-std::string_view tcp_stream::input() const
-{
-    return {socket_->input->bytes, socket_->input->size};
-}
-
 void tcp_stream::consume(std::size_t count)
 {
-    h2o_buffer_consume(&socket_->input, count);
+    input_begin_ += count;
+    if (input_begin_ == input_.size()) {
+        // There may be thousands of connections, so an empty buffer keeps no memory.
+        input_ = std::string{};
+        input_begin_ = 0;
+    }
 }
 
 void tcp_stream::start_reading()
@@ -166,25 +185,46 @@
 
 void tcp_stream::send_pending()
 {
-    const std::size_t remaining = pending_.size() - pending_begin_;
-    if (pending_begin_ == 0 && remaining <= max_write_bytes) {
-        state_->in_flight.swap(pending_);
-    }
-    else {
-        const std::size_t size = std::min(remaining, max_write_bytes);
-        state_->in_flight.assign(pending_, pending_begin_, size);
-        pending_begin_ += size;
-        // Erasing at half of the text keeps the cost proportional to its size.
-        if (pending_begin_ >= pending_.size() / 2) {
-            pending_.erase(0, pending_begin_);
-            pending_begin_ = 0;
-            if (pending_.empty()) {
-                release(pending_);
-            }
+    state_->in_flight = pending_.take(max_write_bytes);
+    std::vector<h2o_iovec_t> parts;
+    parts.reserve(state_->in_flight.size());
+    state_->in_flight_bytes = 0;
+    for (std::string& each : state_->in_flight) {
+        parts.push_back(h2o_iovec_init(each.data(), each.size()));
+        state_->in_flight_bytes += each.size();
+    }
+    h2o_socket_write(socket_, parts.data(), parts.size(), on_written);
+}
+
+std::optional<close_reason> tcp_stream::receive()
+{
+    if (end_.has_value()) {
+        return end_;
+    }
+    input_.erase(0, input_begin_);
+    input_begin_ = 0;
+    std::array<char, read_part_bytes> part{};
+    std::size_t received = 0;
+    while (received < max_read_bytes_) {
+        const ssize_t count = ::recv(descriptor(), part.data(), part.size(), MSG_DONTWAIT);
+        if (count < 0 && errno == EINTR) {
+            continue;
+        }
+        if (count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+            break;
+        }
+        if (count <= 0) {
+            end_ = count == 0 ? close_reason::closed : close_reason::broken;
+            // What was received before the end is handled first; the end is notified again.
+            return received > 0 ? std::nullopt : end_;
+        }
+        input_.append(part.data(), static_cast<std::size_t>(count));
+        received += static_cast<std::size_t>(count);
+        if (static_cast<std::size_t>(count) < part.size()) {
+            break;
         }
     }
-    h2o_iovec_t bytes = h2o_iovec_init(state_->in_flight.data(), state_->in_flight.size());
-    h2o_socket_write(socket_, &bytes, 1, on_written);
+    return std::nullopt;
 }
 
 void tcp_stream::on_connected(st_h2o_socket_t* socket, const char* error)
@@ -202,19 +242,19 @@
     self->listener_.on_connected();
 }
 
-void tcp_stream::on_readable(st_h2o_socket_t* socket, const char* error)
+void tcp_stream::on_readable(st_h2o_socket_t* socket, const char* /*error*/)
 {
     tcp_stream* self = static_cast<socket_state*>(socket->data)->stream;
     if (self == nullptr) {
         return;
     }
-    if (error == nullptr) {
+    const std::optional<close_reason> end = self->receive();
+    if (!end.has_value()) {
         self->listener_.on_bytes();
         return;
     }
     self->stop_reading();
-    self->listener_.on_end(error == h2o_socket_error_closed ? close_reason::closed
-                                                            : close_reason::broken);
+    self->listener_.on_end(*end);
 }
 
 void tcp_stream::on_written(st_h2o_socket_t* socket, const char* error)
@@ -226,8 +266,8 @@
         h2o_socket_close(socket);
         return;
     }
-    state->in_flight.clear();
-    release(state->in_flight);
+    state->in_flight = {};
+    state->in_flight_bytes = 0;
     if (error != nullptr) {
         self->stop_reading();
         self->listener_.on_end(close_reason::broken);
--- a/src/http/tcp_stream.hpp
+++ b/src/http/tcp_stream.hpp
@@ -2,13 +2,16 @@
 
 #include <cstddef>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include <absl/status/statusor.h>
 
 #include "core/socket_address.hpp"
 #include "core/time.hpp"
+#include "http/output_queue.hpp"
 #include "task/event_loop.hpp"
 
 struct st_h2o_socket_t;
@@ -46,10 +49,11 @@
 };
 
 /// A TCP connection over an h2o socket, with an unbounded write buffer that is written in parts.
+/// Bytes that were not read yet stay with the operating system, which bounds them.
 class tcp_stream {
   public:
     /// Takes ownership of an accepted socket.
-    /// @param accepted the socket, not being read yet
+    /// @param accepted the socket, not being read yet; h2o must not read it itself
     /// @param unacknowledged_timeout time for which sent bytes may stay unacknowledged
     /// @param listener receives events; must outlive the stream
     tcp_stream(st_h2o_socket_t* accepted, core::duration unacknowledged_timeout,
@@ -74,9 +78,12 @@
     void write(std::string_view bytes);
 
     /// @return number of bytes not yet handed to the operating system
-    [[nodiscard]] std::size_t unsent() const
+    [[nodiscard]] std::size_t unsent() const { return state_->in_flight_bytes + pending_.size(); }
+
+    /// @return memory of the buffer behind unsent(), in bytes
+    [[nodiscard]] std::size_t output_memory() const
     {
-        return state_->in_flight.size() + pending_.size() - pending_begin_;
+        return state_->in_flight_bytes + pending_.memory();
     }
 
     /// @return address of the peer; port 0 if the connection has ended
@@ -92,7 +99,16 @@
     [[nodiscard]] bool has_unread_bytes() const;
 
     /// @return bytes received but not consumed
-    [[nodiscard]] std::string_view input() const;
+    [[nodiscard]] std::string_view input() const
+    {
+        return std::string_view{input_}.substr(input_begin_);
+    }
+
+    /// @return memory of the buffer behind input(), in bytes
+    [[nodiscard]] std::size_t input_memory() const
+    {
+        return input_.empty() ? 0 : input_.capacity();
+    }
 
     /// Removes the first bytes of input().
     void consume(std::size_t count);
@@ -106,20 +122,29 @@
         /// Null once the stream is destroyed.
         tcp_stream* stream;
         /// Bytes that h2o is writing.
-        std::string in_flight;
+        std::vector<std::string> in_flight;
+        std::size_t in_flight_bytes = 0;
     };
 
     st_h2o_socket_t* socket_;
     stream_listener& listener_;
-    std::string pending_;
-    /// Number of bytes of `pending_` that were passed on already.
-    std::size_t pending_begin_ = 0;
+    output_queue pending_;
     std::unique_ptr<socket_state> state_;
+    std::string input_;
+    /// Number of bytes of `input_` that were consumed already.
+    std::size_t input_begin_ = 0;
+    /// Set once nothing more can be read; the operating system reports an error only once.
+    std::optional<close_reason> end_;
+    /// Maximum number of bytes that are read before the listener is called.
+    const std::size_t max_read_bytes_;
     bool connected_;
 
     tcp_stream(st_h2o_socket_t* socket, bool connected, core::duration unacknowledged_timeout,
                stream_listener& listener);
     void send_pending();
+    /// Reads what has arrived, up to the maximum.
+    /// @return why nothing more can be read, empty while the connection is open
+    std::optional<close_reason> receive();
 
     static void on_connected(st_h2o_socket_t* socket, const char* error);
     static void on_readable(st_h2o_socket_t* socket, const char* error);
--- a/src/limits/memory_ledger.cpp
+++ b/src/limits/memory_ledger.cpp
@@ -24,7 +24,9 @@
         changed.progressed_at = now;
     }
     input_bytes_ += held.input - changed.input;
-    output_bytes_ += held.output - changed.output;
+    const std::size_t output_memory = held.output + held.output_slack;
+    output_bytes_ += output_memory - changed.output_memory;
+    changed.output_memory = output_memory;
     changed.input = held.input;
     changed.output = held.output;
     changed.is_stream = held.is_stream;
@@ -35,7 +37,7 @@
     const auto found = entries_.find(id);
     if (found != entries_.end()) {
         input_bytes_ -= found->second.input;
-        output_bytes_ -= found->second.output;
+        output_bytes_ -= found->second.output_memory;
         entries_.erase(found);
     }
 }
@@ -49,7 +51,7 @@
 void memory_ledger::enforce(core::instant now)
 {
     enforce_sum(input_bytes_, limits_.max_input_bytes, &entry::input, now);
-    enforce_sum(output_bytes_, limits_.max_output_bytes, &entry::output, now);
+    enforce_sum(output_bytes_, limits_.max_output_bytes, &entry::output_memory, now);
 }
 
 bool memory_ledger::is_read_stream(const entry& checked, core::instant now) const
@@ -77,7 +79,11 @@
                                              });
         const holder_id id = chosen->first;
         const entry given_up = chosen->second;
-        given_up.holder->give_up(held_memory{given_up.input, given_up.output, given_up.is_stream});
+        given_up.holder->give_up(
+            held_memory{.input = given_up.input,
+                        .output = given_up.output,
+                        .output_slack = given_up.output_memory - given_up.output,
+                        .is_stream = given_up.is_stream});
         close(id);
     }
 }
--- a/src/limits/memory_ledger.hpp
+++ b/src/limits/memory_ledger.hpp
@@ -17,7 +17,7 @@
 struct memory_limits {
     /// Received bytes of all holders: input, heads and bodies of requests that are not answered.
     const std::size_t max_input_bytes = 64 * 1024 * 1024;
-    /// Bytes of all holders that wait until their callers read them.
+    /// Memory of all holders for bytes that wait until their callers read them.
     const std::size_t max_output_bytes = 64 * 1024 * 1024;
     /// Output of one holder above which it may not be read.
     const std::size_t max_unread_bytes = 32 * 1024;
@@ -31,6 +31,8 @@
 struct held_memory {
     const std::size_t input = 0;
     const std::size_t output = 0;
+    /// Memory of the buffers of the output beside its bytes.
+    const std::size_t output_slack = 0;
     /// The output belongs to an answer that is still being produced.
     const bool is_stream = false;
 
@@ -84,6 +86,8 @@
         memory_holder* holder;
         std::size_t input = 0;
         std::size_t output = 0;
+        /// Output with the slack of its buffers.
+        std::size_t output_memory = 0;
         bool is_stream = false;
         core::instant progressed_at;
     };
--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -289,6 +289,35 @@
 
 } // namespace
 
+// Guards against callers that send ahead: what they sent stays with the operating system.
+BOOST_AUTO_TEST_CASE(requests_sent_ahead_are_read_in_parts)
+{
+    task::event_loop loop;
+    loop.open();
+    counting_handler handler;
+    const core::socket_address address = test::free_address();
+    const auto ledger = std::make_shared<limits::memory_ledger>(limits::memory_limits{});
+    auto listening = http::server::listen(loop, address, http::server_settings{}, handler, ledger);
+    BOOST_REQUIRE(listening.ok());
+    const int fd = connect_to(address);
+    constexpr std::size_t sent_ahead = 1000;
+    for (std::size_t i = 0; i < sent_ahead; ++i) {
+        constexpr std::string_view request =
+            "GET / HTTP/1.1\r\nhost: x\r\nx-filling: 0123456789012345678901234567\r\n\r\n";
+        (void)::send(fd, request.data(), request.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+    }
+    run(loop, 20);
+    BOOST_TEST(handler.requests == 1);
+    // The bytes that may wait, and those of one more read, as the request is answered.
+    constexpr std::size_t max_input_bytes = 33 * 1024;
+    BOOST_TEST(ledger->input_bytes() <= max_input_bytes);
+    BOOST_TEST(ledger->input_bytes() > 0U);
+    ::close(fd);
+    listening->reset();
+    BOOST_TEST(ledger->input_bytes() == 0U);
+    loop.close();
+}
+
 // Guards against callers that send ahead: what a connection costs must not grow with the requests
 // on it.
 BOOST_AUTO_TEST_CASE(requests_sent_ahead_do_not_add_up)
--- a/tests/limits/memory_ledger_test.cpp
+++ b/tests/limits/memory_ledger_test.cpp
@@ -75,6 +75,23 @@
     BOOST_TEST(ledger.may_read(id));
 }
 
+BOOST_AUTO_TEST_CASE(the_room_of_buffers_counts_but_does_not_keep_a_holder_from_being_read)
+{
+    limits::memory_ledger ledger{small_limits};
+    recording_holder holder;
+    recording_holder other;
+    const auto id = ledger.open(holder);
+    const auto other_id = ledger.open(other);
+    ledger.set(id, {.output = 100, .output_slack = 1500}, at(0));
+    BOOST_TEST(ledger.may_read(id));
+    BOOST_TEST(ledger.output_bytes() == 1600U);
+    ledger.set(other_id, {.output = 500}, at(1));
+    ledger.enforce(at(1));
+    BOOST_TEST(holder.gave_up);
+    BOOST_TEST(!other.gave_up);
+    BOOST_TEST(ledger.output_bytes() == 500U);
+}
+
 RC_BOOST_PROP(sums_stay_within_the_limits_and_an_ordinary_caller_gets_in, ())
 {
     limits::memory_ledger ledger{small_limits};
@@ -96,6 +113,7 @@
             ledger.set(ids[index],
                        {.input = *rc::gen::inRange<std::size_t>(0, 1500),
                         .output = *rc::gen::inRange<std::size_t>(0, 2500),
+                        .output_slack = *rc::gen::inRange<std::size_t>(0, 500),
                         .is_stream = *rc::gen::arbitrary<bool>()},
                        at(time));
         }
