settings: the number of connections follows from the memory as well

Callers would see: a process on a machine with many descriptors and little memory that ends although the ledger's sums hold.

Cause: the ledger counts buffers, not the records of a connection, whose number followed from max_descriptors alone.

Change: connections may use a quarter of the memory, 8 KiB each, at least 64. Of that number clients have a half, instances an eighth, each other listener a sixteenth, as of the descriptors.

Evidence: test_platform connections_follow_from_the_descriptors_and_from_ the_memory passes; it was not run on the code before, where the numbers don't depend on memory_mb.

--- a/tests/platform/settings_test.cpp
+++ b/tests/platform/settings_test.cpp
@@ -36,6 +36,28 @@
     BOOST_TEST(read->relay.retries.slack == 300);
 }
 
+BOOST_AUTO_TEST_CASE(connections_follow_from_the_descriptors_and_from_the_memory)
+{
+    nlohmann::json body = valid_settings();
+    body["limits"]["max_descriptors"] = 960;
+    body["limits"]["memory_mb"] = 112;
+    const auto ample = platform::decode_settings(body, "file");
+    BOOST_REQUIRE(ample.ok());
+    BOOST_TEST(ample->entry.max_connections == 480U);
+    BOOST_TEST(ample->entry.max_other_connections == 60U);
+    BOOST_TEST(ample->replica.max_connections == 120U);
+    body["limits"]["memory_mb"] = 16;
+    const auto scarce = platform::decode_settings(body, "file");
+    BOOST_REQUIRE(scarce.ok());
+    BOOST_TEST(scarce->entry.max_connections == 256U);
+    BOOST_TEST(scarce->entry.max_other_connections == 32U);
+    BOOST_TEST(scarce->replica.max_connections == 64U);
+    body["limits"]["memory_mb"] = 0.1;
+    const auto tiny = platform::decode_settings(body, "file");
+    BOOST_REQUIRE(tiny.ok());
+    BOOST_TEST(tiny->entry.max_other_connections > 0U);
+}
+
 BOOST_AUTO_TEST_CASE(every_fault_is_reported_with_its_json_pointer)
 {
     nlohmann::json body = valid_settings();
