http: an error that quotes bytes of a request ends no process

Callers saw: the own front ended (SIGABRT) with one request to an unknown path that holds a byte above 127.

Cause: the answer quotes the path in JSON, and nlohmann::json::dump() throws for text that isn't UTF-8; nothing catches it.

The other texts that are dumped were looked at: they come from parsed JSON, settings, hashes or Base64.

--- a/src/http/completion_codec.cpp
+++ b/src/http/completion_codec.cpp
@@ -178,13 +178,13 @@
 
 std::string encode_error(const core::failure& reason)
 {
-    return document{{"error",
-                     {{"message", reason.message},
-                      {"type", core::to_string(reason.kind)},
-                      {"code", core::to_string(reason.kind)},
-                      {"param", nullptr}}},
-                    {"not_run", reason.not_run}}
-        .dump();
+    // The message may quote bytes of the request.
+    return json::to_text({{"error",
+                           {{"message", reason.message},
+                            {"type", core::to_string(reason.kind)},
+                            {"code", core::to_string(reason.kind)},
+                            {"param", nullptr}}},
+                          {"not_run", reason.not_run}});
 }
 
 int http_status_of(core::error_kind kind)
--- a/src/json/fields.cpp
+++ b/src/json/fields.cpp
@@ -10,6 +10,21 @@
     return parsed.ok() ? *std::move(parsed) : nlohmann::json{};
 }
 
+std::string to_text(const nlohmann::json& document)
+{
+    return document.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+std::optional<std::string> to_exact_text(const nlohmann::json& document)
+{
+    try {
+        return document.dump();
+    }
+    catch (const nlohmann::json::type_error&) {
+        return std::nullopt;
+    }
+}
+
 const nlohmann::json& member_of(const nlohmann::json& body, const char* name)
 {
     static const nlohmann::json none;
--- a/src/json/fields.hpp
+++ b/src/json/fields.hpp
@@ -17,6 +17,12 @@
 ///         deeper than any message
 [[nodiscard]] nlohmann::json parse_or_null(std::string_view text);
 
+/// @return the text of a document; bytes of its texts that are not UTF-8 are replaced
+[[nodiscard]] std::string to_text(const nlohmann::json& document);
+
+/// @return the text of a document, empty if one of its texts is not UTF-8
+[[nodiscard]] std::optional<std::string> to_exact_text(const nlohmann::json& document);
+
 /// @return the member of an object, null if it is missing or `body` is not an object
 [[nodiscard]] const nlohmann::json& member_of(const nlohmann::json& body, const char* name);
 
--- a/tests/cli/small_machine_test.cpp
+++ b/tests/cli/small_machine_test.cpp
@@ -270,3 +270,12 @@
                repeat("GET /nowhere HTTP/1.1\r\nhost: x\r\n\r\n", own_front_crowd_size));
     check_survival(process);
 }
+
+// The error that the answer quotes holds a byte that is not UTF-8.
+BOOST_AUTO_TEST_CASE(own_front_a_path_that_is_not_utf8, *boost::unit_test::label("callers"))
+{
+    test::route_process process;
+    test::caller_crowd crowd;
+    crowd.send(process.entry, repeat("GET /nowhere\xff HTTP/1.1\r\nhost: x\r\n\r\n", 1));
+    check_survival(process);
+}
