platform: a run whose id is not UTF-8 is not copied

Cause: encode_copy_request() dumps the id as JSON, which throws for text that isn't UTF-8; nothing catches it.

The byte is not replaced: the id could then name the run of another request.

--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -104,7 +104,7 @@
         relay::attempt_id{relay::request_number{1}, core::attempt_number{1}}, "9c41",
         core::socket_address{"10.128.0.9", 8080}, core::target_name{"i-2"},
         core::socket_address{"10.128.0.10", 8080}};
-    const http::request sent = platform::encode_copy_request(command);
+    const http::request sent = platform::encode_copy_request(command).value();
     BOOST_TEST(sent.path == "/kv-move");
     BOOST_TEST((nlohmann::json::parse(sent.body) ==
                 nlohmann::json{{"id", "9c41"}, {"to", "10.128.0.10:8080"}}));
@@ -119,6 +119,16 @@
     BOOST_TEST(!decode_answer(200, "[").has_value());
 }
 
+// A replaced byte could name the run of another request.
+BOOST_AUTO_TEST_CASE(a_run_whose_id_is_not_utf8_is_not_copied)
+{
+    const relay::copy_run command{
+        relay::attempt_id{relay::request_number{1}, core::attempt_number{1}}, "9c\xff",
+        core::socket_address{"10.128.0.9", 8080}, core::target_name{"i-2"},
+        core::socket_address{"10.128.0.10", 8080}};
+    BOOST_TEST(!platform::encode_copy_request(command).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(responses_are_classified_by_status_request_id_and_signature)
 {
     using platform::answer_kind;
