platform: connection options and trailers cost time in proportion to their bytes

Cause: for each field of a request the whole value of Connection was split again, before route and key are looked at: 8,000 options times 4,000 fields are 0.55 s. The trailer section was added to the fields of the head, and bounded by 64 KB whatever max_header_bytes is. The head of a request was checked again with each part of its body. Answers of targets were treated the same way.

Trailers are dropped, as RFC 9110 allows: one named like a field of the head could change where a request goes. The trailers and chunk headers of a request are bounded by max_header_bytes. The head is checked once. Both copies of trim() are one in core/text.hpp.

--- a/src/core/text.hpp
+++ b/src/core/text.hpp
@@ -69,6 +69,18 @@
     return text;
 }
 
+/// @return the text without the blanks around it
+[[nodiscard]] inline std::string_view trim(std::string_view text)
+{
+    while (text.starts_with(' ') || text.starts_with('\t')) {
+        text.remove_prefix(1);
+    }
+    while (text.ends_with(' ') || text.ends_with('\t')) {
+        text.remove_suffix(1);
+    }
+    return text;
+}
+
 /// Removes a prefix.
 /// @param text shortened if it starts with the prefix
 /// @param prefix the prefix to remove
--- a/src/http/message_reader.cpp
+++ b/src/http/message_reader.cpp
@@ -36,10 +36,13 @@
 /// Maximum size of the start line and headers of a response, in bytes.
 constexpr std::uint32_t max_response_head_bytes = 64 * 1024;
 
-/// Maximum size of a chunk header, or of the trailers, of a message. Beast's parser waits for their
-/// end without a limit.
+/// Maximum size of a chunk header, or of the trailers, of a response. Beast's parser waits for
+/// their end without a limit.
 constexpr std::size_t max_unparsed_bytes = 64 * 1024;
 
+/// Least number of bytes of a field beside its name and its value.
+constexpr std::size_t field_frame_bytes = std::string_view{":\r\n"}.size();
+
 /// Maximum number of interim (1xx) responses before the final one.
 constexpr int max_interim_responses = 16;
 
@@ -95,6 +98,18 @@
     return codings.size() == 1 ? 0 : status_not_implemented;
 }
 
+/// @return 0 if a request may have this head, otherwise the HTTP status to reject it with
+int check_head(const std::vector<header>& headers, int version)
+{
+    if (const int status = coding_error(headers, version); status != 0) {
+        return status;
+    }
+    // With two host headers, two parsers of the same request could disagree about its route.
+    const auto hosts = std::count_if(headers.begin(), headers.end(),
+                                     [](const header& field) { return field.name == "host"; });
+    return hosts > 1 ? status_bad_request : 0;
+}
+
 } // namespace
 
 namespace detail {
@@ -112,7 +127,7 @@
         if (error == beast::http::error::need_more) {
             error = {};
         }
-        if (!error && !this->is_done() && bytes.size() - used > max_unparsed_bytes) {
+        if (!error && !this->is_done() && bytes.size() - used > max_unparsed) {
             error = beast::http::error::header_limit;
         }
         return used;
@@ -126,8 +141,12 @@
     bool has_head = false;
     int version = 0;
     beast::error_code error;
+    /// Maximum size of a chunk header, or of the trailers.
+    std::size_t max_unparsed = max_unparsed_bytes;
 
   private:
+    std::size_t trailer_bytes_ = 0;
+
     void on_request_impl(beast::http::verb /*verb*/, beast::string_view name,
                          beast::string_view target, int minor_version,
                          beast::error_code& /*failure*/) override
@@ -146,8 +165,17 @@
         }
     }
     void on_field_impl(beast::http::field /*known*/, beast::string_view name,
-                       beast::string_view value, beast::error_code& /*failure*/) override
+                       beast::string_view value, beast::error_code& failure) override
     {
+        if (has_head) {
+            // A trailer is dropped (RFC 9110, section 6.5.1): taken for a field of the head, it
+            // could change where a request goes or how a message is understood.
+            trailer_bytes_ += name.size() + value.size() + field_frame_bytes;
+            if (trailer_bytes_ > max_unparsed) {
+                failure = beast::http::error::header_limit;
+            }
+            return;
+        }
         headers.push_back(header{to_lower(name), std::string{view(value)}});
     }
     void on_header_impl(beast::error_code& /*failure*/) override { has_head = true; }
@@ -184,13 +212,19 @@
     parser_->eager(true);
     parser_->header_limit(static_cast<std::uint32_t>(limits.max_header_bytes));
     parser_->body_limit(limits.max_body_bytes);
+    parser_->max_unparsed = limits.max_header_bytes;
 }
 
 request_reader::~request_reader() = default;
 
 std::size_t request_reader::feed(std::string_view bytes)
 {
-    return parser_->feed(bytes);
+    const bool had_head = parser_->has_head;
+    const std::size_t used = parser_->feed(bytes);
+    if (!had_head && parser_->has_head) {
+        head_error_ = check_head(parser_->headers, parser_->version);
+    }
+    return used;
 }
 
 bool request_reader::has_head() const
@@ -214,14 +248,7 @@
     if (parser_->error) {
         return status_bad_request;
     }
-    if (const int status = coding_error(parser_->headers, parser_->version);
-        status != 0 && parser_->has_head) {
-        return status;
-    }
-    // With two host headers, two parsers of the same request could disagree about its route.
-    const auto hosts = std::count_if(parser_->headers.begin(), parser_->headers.end(),
-                                     [](const header& field) { return field.name == "host"; });
-    return hosts > 1 ? status_bad_request : 0;
+    return head_error_;
 }
 
 bool request_reader::expects_continue() const
--- a/src/http/message_reader.hpp
+++ b/src/http/message_reader.hpp
@@ -19,7 +19,7 @@
 
 /// Size limits of the requests that a server accepts.
 struct message_limits {
-    /// Maximum size of the start line and headers, in bytes.
+    /// Maximum size of the start line and headers, and of the trailers, in bytes.
     const std::size_t max_header_bytes = 16 * 1024;
     /// Maximum size of the body, in bytes.
     const std::size_t max_body_bytes = 4 * 1024 * 1024;
@@ -61,6 +61,9 @@
   private:
     class parser;
     std::unique_ptr<parser> parser_;
+    /// HTTP status to reject the head with, 0 while it is valid. The head is checked once: a check
+    /// with each part of a body would take time for each of its fields.
+    int head_error_ = 0;
 };
 
 /// Reads one response.
--- a/src/http/service_codec.cpp
+++ b/src/http/service_codec.cpp
@@ -19,17 +19,6 @@
     return lower;
 }
 
-std::string_view trim(std::string_view text)
-{
-    while (text.starts_with(' ')) {
-        text.remove_prefix(1);
-    }
-    while (text.ends_with(' ')) {
-        text.remove_suffix(1);
-    }
-    return text;
-}
-
 /// @return names of the headers that apply to one connection only (hop-by-hop)
 std::set<std::string> hop_by_hop_names(const std::vector<header>& headers)
 {
@@ -46,7 +35,7 @@
                                 "date",
                                 "server"};
     for (const std::string_view option : core::split(find_header(headers, "connection"), ',')) {
-        names.insert(to_lower(trim(option)));
+        names.insert(to_lower(core::trim(option)));
     }
     return names;
 }
--- a/tests/http/message_reader_test.cpp
+++ b/tests/http/message_reader_test.cpp
@@ -251,6 +251,31 @@
                head_too_large);
 }
 
+BOOST_AUTO_TEST_CASE(the_trailers_of_a_request_are_bounded_like_its_head_and_dropped)
+{
+    constexpr int head_too_large = 431;
+    const std::string head = "POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n";
+    const auto read = [&](const std::string& trailers) {
+        auto reader = std::make_unique<http::request_reader>(
+            http::message_limits{.max_header_bytes = 200, .max_body_bytes = 10});
+        reader->feed(head + "1\r\nb\r\n0\r\n" + trailers + "\r\n");
+        return reader;
+    };
+    const auto allowed = read("x-late: 1\r\nhost: b\r\n");
+    BOOST_REQUIRE(allowed->is_complete());
+    BOOST_TEST(allowed->error_status() == 0);
+    const http::request request = allowed->take();
+    BOOST_TEST(request.find_header("x-late").empty());
+    BOOST_TEST(request.find_header("host") == "a");
+    BOOST_TEST(request.body == "b");
+    std::string many;
+    while (many.size() < 300) {
+        many += "a:\r\n";
+    }
+    BOOST_TEST(read(many)->error_status() == head_too_large);
+    BOOST_TEST(read("a: " + std::string(300, 'a'))->error_status() == head_too_large);
+}
+
 RC_BOOST_PROP(a_request_is_read_for_any_split_of_its_bytes, (const std::vector<std::uint8_t>& cuts))
 {
     const std::string text = "POST /a/b?c HTTP/1.1\r\nHost: x\r\nX-Y: z\r\n"
--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -2,6 +2,7 @@
 #include <nlohmann/json.hpp>
 
 #include "platform/configuration_codec.hpp"
+#include "platform/connection_fields.hpp"
 #include "platform/crash_codec.hpp"
 #include "platform/entry_codec.hpp"
 #include "platform/member_codec.hpp"
@@ -75,6 +76,18 @@
     BOOST_TEST(decoded->last_event.value_or("") == "12");
 }
 
+BOOST_AUTO_TEST_CASE(all_fields_that_a_message_lists_as_its_connections_are_not_forwarded)
+{
+    const platform::connection_fields listed{
+        {{"connection", "close, X-One,,"}, {"x-one", "1"}, {"connection", " x-two "}}};
+    BOOST_TEST(listed.contains("x-one"));
+    BOOST_TEST(listed.contains("x-two"));
+    BOOST_TEST(listed.contains("connection"));
+    BOOST_TEST(listed.contains("content-length"));
+    BOOST_TEST(!listed.contains("x-on"));
+    BOOST_TEST(!listed.contains("host"));
+}
+
 BOOST_AUTO_TEST_CASE(reserved_fields_of_a_client_are_not_forwarded_to_a_runner)
 {
     const http::request sent = platform::encode_attempt(make_attempt(false));
