peer: connections without the greeting of the protocol are ended

Callers saw: memory of the own front that grows with anything sent to its listener of peers, 81 to 90 MiB above idle with 300 connections.

Cause: without keys no authentication was set up, and then ZeroMQ takes bytes that don't begin with its greeting for messages of the first version of its protocol, and queues up to 1,000 of them for each connection.

Change: the ZAP handler is there without keys as well and accepts peers of the plain mechanism. With a handler ZeroMQ ends such connections. A peer without keys is still accepted on loopback only.

--- a/src/peer/peer_task.cpp
+++ b/src/peer/peer_task.cpp
@@ -50,10 +50,9 @@
                                              core::to_string(settings_.listen), " requires keys"),
                                 "set peer_keys in the settings, or listen on loopback");
     }
-    if (settings_.keys.has_value()) {
-        zap_handler_ =
-            std::make_unique<zap_handler>(context_, loop(), set_of(settings_.keys->allowed));
-    }
+    zap_handler_ = std::make_unique<zap_handler>(
+        context_, loop(),
+        settings_.keys.has_value() ? std::optional{set_of(settings_.keys->allowed)} : std::nullopt);
     const absl::Status bound = bind();
     if (!bound.ok()) {
         on_stop();
@@ -77,8 +76,8 @@
                       static_cast<std::int64_t>(settings_.max_message_bytes));
         receiver_.set(zmq::sockopt::heartbeat_ivl, heartbeat_ms);
         receiver_.set(zmq::sockopt::heartbeat_timeout, heartbeat_timeout_ms);
+        receiver_.set(zmq::sockopt::zap_domain, "peers");
         if (settings_.keys.has_value()) {
-            receiver_.set(zmq::sockopt::zap_domain, "peers");
             receiver_.set(zmq::sockopt::curve_server, true);
             receiver_.set(zmq::sockopt::curve_secretkey, settings_.keys->secret_key);
         }
--- a/src/peer/zap_handler.cpp
+++ b/src/peer/zap_handler.cpp
@@ -24,7 +24,7 @@
 } // namespace
 
 zap_handler::zap_handler(zmq::context_t& context, task::event_loop& loop,
-                         std::set<std::string> allowed)
+                         std::optional<std::set<std::string>> allowed)
     : allowed_{std::move(allowed)}, requests_{context, zmq::socket_type::rep},
       watch_{loop, requests_.get(zmq::sockopt::fd), [this] { answer_requests(); }}
 {
@@ -70,14 +70,19 @@
 
 bool zap_handler::is_allowed(const std::vector<zmq::message_t>& request) const
 {
-    if (request.size() <= key_frame || request[version_frame].to_string_view() != "1.0" ||
-        request[mechanism_frame].to_string_view() != "CURVE" ||
+    if (request.size() <= mechanism_frame || request[version_frame].to_string_view() != "1.0") {
+        return false;
+    }
+    if (!allowed_.has_value()) {
+        return request[mechanism_frame].to_string_view() == "NULL";
+    }
+    if (request.size() <= key_frame || request[mechanism_frame].to_string_view() != "CURVE" ||
         request[key_frame].size() != raw_key_bytes) {
         return false;
     }
     std::array<char, text_key_bytes> text{};
     zmq_z85_encode(text.data(), request[key_frame].data<std::uint8_t>(), raw_key_bytes);
-    return allowed_.contains(std::string{text.data()});
+    return allowed_->contains(std::string{text.data()});
 }
 
 } // namespace cyclamen::peer
