platform: a stated deadline that no duration holds is the longest one

Cause: the milliseconds that a request states were converted to a signed number of nanoseconds, which overflows above 9,223,372,036,854: undefined behaviour, and in practice a deadline in the past.

Evidence: test_platform a_deadline_that_no_duration_holds_is_the_longest_one passes; it was not run on the code before.

--- a/tests/platform/codec_test.cpp
+++ b/tests/platform/codec_test.cpp
@@ -76,6 +76,20 @@
     BOOST_TEST(decoded->last_event.value_or("") == "12");
 }
 
+BOOST_AUTO_TEST_CASE(a_deadline_that_no_duration_holds_is_the_longest_one)
+{
+    for (const char* text : {"86400001", "9223372036855", "18446744073709551615"}) {
+        const http::request request{
+            "GET",
+            "/a",
+            {{"x-cyclamencourse-request-id", "1"}, {"x-cyclamencourse-deadline-ms", text}},
+            ""};
+        const auto decoded = platform::decode_submission(request, relay::caller_id{1});
+        BOOST_REQUIRE(decoded.has_value());
+        BOOST_TEST((decoded->timeout == 24h));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(all_fields_that_a_message_lists_as_its_connections_are_not_forwarded)
 {
     const platform::connection_fields listed{
