http: counters of connections that limits end; requests sent ahead fuzzed

test_http a_connection_that_gives_way_to_a_new_one_is_counted, and a property: a sequence of requests on one connection, cut anywhere, is read like the same requests one at a time.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -158,6 +158,8 @@
 
     [[nodiscard]] std::size_t open_exchanges() const { return exchanges_.size(); }
 
+    [[nodiscard]] limits::connection_ends ended_by_limits() const { return ended_.get(); }
+
   private:
     using connection = detail::server_connection;
     using connection_number = detail::connection_number;
@@ -176,6 +178,7 @@
     /// logged since.
     core::instant logged_at_;
     std::size_t unlogged_ = 0;
+    core::cell<limits::connection_ends> ended_{limits::connection_ends{}};
     bool closing_ = false;
     bool keep_alive_disabled_ = false;
 
@@ -192,6 +195,7 @@
                                                     last_number_, socket, settings_.get(), ledger_,
                                                     loop_.now());
         if (connections_.size() >= settings_.get().max_connections && !displace_connection()) {
+            ended_.set(ended_.get() + limits::connection_ends{.refused = 1});
             log_closed("connection_refused", *created, {});
             return;
         }
@@ -222,6 +226,7 @@
         if (chosen == nullptr) {
             return false;
         }
+        ended_.set(ended_.get() + limits::connection_ends{.displaced = 1});
         log_closed("connection_displaced", *chosen, {});
         connections_.erase(connection_number{chosen->number});
         return true;
@@ -253,6 +258,7 @@
 
     void on_give_up(connection& peer, const limits::held_memory& held) override
     {
+        ended_.set(ended_.get() + limits::connection_ends{.given_up = 1});
         log_closed("response_unsent", peer, held);
         drop(peer, true);
     }
@@ -531,6 +537,11 @@
     return implementation_->busy_connections();
 }
 
+limits::connection_ends server::ended_by_limits() const
+{
+    return implementation_->ended_by_limits();
+}
+
 std::size_t server::open_exchanges() const
 {
     return implementation_->open_exchanges();
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -11,6 +11,7 @@
 #include "core/time.hpp"
 #include "http/http_types.hpp"
 #include "http/message_reader.hpp"
+#include "limits/connection_ends.hpp"
 #include "limits/memory_ledger.hpp"
 #include "task/event_loop.hpp"
 
@@ -105,6 +106,9 @@
     ///         bytes, or so new that their first request is still expected
     [[nodiscard]] std::size_t busy_connections() const;
 
+    /// @return connections that were ended by a limit so far
+    [[nodiscard]] limits::connection_ends ended_by_limits() const;
+
     /// @return number of open exchanges
     [[nodiscard]] std::size_t open_exchanges() const;
 
--- a/src/relay/messages.hpp
+++ b/src/relay/messages.hpp
@@ -12,6 +12,7 @@
 #include "core/identifier.hpp"
 #include "core/socket_address.hpp"
 #include "core/time.hpp"
+#include "limits/connection_ends.hpp"
 #include "limits/urgency.hpp"
 #include "relay/member_registry.hpp"
 #include "relay/reported_load.hpp"
@@ -103,6 +104,8 @@
 /// Requests the current counters and histograms.
 struct metrics_query {
     const caller_id caller;
+    /// Connections that limits have ended since the last query.
+    const limits::connection_ends ended;
 
     auto operator<=>(const metrics_query&) const = default;
 };
--- a/src/relay/relay_manager.cpp
+++ b/src/relay/relay_manager.cpp
@@ -319,6 +319,7 @@
 
 void relay_manager::on(const metrics_query& query)
 {
+    metrics_.on_connections_ended(query.ended);
     host_.send(metrics_answer{query.caller, metrics_.text(requests_.size(), targets_.size(),
                                                           paces_->known_uneven(now_))});
 }
--- a/src/relay/relay_metrics.cpp
+++ b/src/relay/relay_metrics.cpp
@@ -19,6 +19,13 @@
     registry_.counter_of(core::concat(event, "_total"), labels).add();
 }
 
+void relay_metrics::on_connections_ended(const limits::connection_ends& ended)
+{
+    registry_.counter_of("connections_displaced").add(ended.displaced);
+    registry_.counter_of("connections_refused").add(ended.refused);
+    registry_.counter_of("connections_given_up").add(ended.given_up);
+}
+
 std::string relay_metrics::text(std::size_t open_requests, std::size_t targets,
                                 std::size_t uneven_targets)
 {
--- a/src/relay/relay_metrics.hpp
+++ b/src/relay/relay_metrics.hpp
@@ -5,6 +5,7 @@
 
 #include "core/identifier.hpp"
 #include "core/time.hpp"
+#include "limits/connection_ends.hpp"
 #include "metrics/registry.hpp"
 
 namespace cyclamen::relay {
@@ -25,6 +26,9 @@
     /// @param event log event of the failure
     void on_attempt(const metrics::series_labels& labels, std::string_view event);
 
+    /// Counts connections that limits have ended.
+    void on_connections_ended(const limits::connection_ends& ended);
+
     /// @param uneven_targets targets that are known to be faster or slower than usual
     /// @return all series in the Prometheus text format
     [[nodiscard]] std::string text(std::size_t open_requests, std::size_t targets,
--- a/tests/http/message_reader_test.cpp
+++ b/tests/http/message_reader_test.cpp
@@ -296,6 +296,68 @@
 
 namespace {
 
+struct read_result {
+    const int error_status;
+    const http::request request;
+
+    bool operator==(const read_result&) const = default;
+};
+
+/// Reads requests of one connection as a server does, until one is invalid or incomplete.
+std::vector<read_result> read_all(std::string_view input, const std::vector<std::uint8_t>& cuts)
+{
+    std::vector<read_result> results;
+    auto reader = std::make_unique<http::request_reader>(
+        http::message_limits{.max_header_bytes = 200, .max_body_bytes = 10});
+    std::size_t arrived = 0;
+    std::size_t used = 0;
+    for (std::size_t i = 0; arrived < input.size(); ++i) {
+        arrived = std::min(input.size(), arrived + (i < cuts.size() ? cuts[i] % 64 : input.size()));
+        while (used < arrived) {
+            used += reader->feed(input.substr(used, arrived - used));
+            if (reader->error_status() != 0) {
+                results.push_back({reader->error_status(), {}});
+                return results;
+            }
+            if (!reader->is_complete()) {
+                break;
+            }
+            results.push_back({0, reader->take()});
+            reader = std::make_unique<http::request_reader>(
+                http::message_limits{.max_header_bytes = 200, .max_body_bytes = 10});
+        }
+    }
+    return results;
+}
+
+} // namespace
+
+RC_BOOST_PROP(requests_sent_ahead_are_read_like_single_ones,
+              (const std::vector<std::uint8_t>& cuts))
+{
+    const auto parts = *rc::gen::container<std::vector<std::string>>(rc::gen::element<std::string>(
+        "GET /a HTTP/1.1\r\nhost: x\r\n\r\n", "GET /no-host HTTP/1.1\r\n\r\n",
+        "POST /b HTTP/1.1\r\nhost: x\r\ncontent-length: 3\r\n\r\nabc",
+        "POST /c HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n"
+        "2;e=1\r\nab\r\n0\r\nhost: y\r\n\r\n",
+        "PUT /\xff HTTP/1.1\r\nhost: x\r\nconnection: a, b\r\nconnection: c\r\n\r\n",
+        "POST /large HTTP/1.1\r\nhost: x\r\ncontent-length: 11\r\n\r\n",
+        "GET /two HTTP/1.1\r\nhost: x\r\nhost: y\r\n\r\n", "GET /bad\x01 HTTP/1.1\r\n\r\n"));
+    std::string together;
+    std::vector<read_result> expected;
+    for (const std::string& each : parts) {
+        together += each;
+        const bool goes_on = expected.empty() || expected.back().error_status == 0;
+        for (const read_result& result :
+             goes_on ? read_all(each, {}) : std::vector<read_result>{}) {
+            expected.push_back(result);
+        }
+    }
+    RC_ASSERT((read_all(together, cuts) == expected));
+}
+
+namespace {
+
 /// Feeds a response without end.
 /// @return bytes that the reader and its caller hold when the reader fails, or when the input is
 ///         longer than any response may be
--- a/tests/http/server_test.cpp
+++ b/tests/http/server_test.cpp
@@ -289,6 +289,39 @@
 
 } // namespace
 
+BOOST_AUTO_TEST_CASE(a_connection_that_gives_way_to_a_new_one_is_counted)
+{
+    task::event_loop loop;
+    loop.open();
+    counting_handler handler;
+    const core::socket_address address = test::free_address();
+    auto listening =
+        http::server::listen(loop, address, http::server_settings{.max_connections = 2}, handler);
+    BOOST_REQUIRE(listening.ok());
+    std::vector<int> callers;
+    const auto connect = [&] {
+        callers.push_back(connect_to(address));
+        run(loop, 5);
+    };
+    connect();
+    connect();
+    connect();
+    BOOST_TEST(((*listening)->ended_by_limits() == limits::connection_ends{.displaced = 1}));
+    // The two that are left have requests in progress.
+    send_request(callers[1]);
+    send_request(callers[2]);
+    run(loop, 5);
+    BOOST_REQUIRE(handler.requests == 2);
+    connect();
+    BOOST_TEST(
+        ((*listening)->ended_by_limits() == limits::connection_ends{.displaced = 1, .refused = 1}));
+    for (const int fd : callers) {
+        ::close(fd);
+    }
+    listening->reset();
+    loop.close();
+}
+
 // Guards against callers that send ahead: what they sent stays with the operating system.
 BOOST_AUTO_TEST_CASE(requests_sent_ahead_are_read_in_parts)
 {
